--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // Faults is the body of POST /faults and the answer of GET /faults. A POST replaces all faults; {} ends them.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/httpkv"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/httpkv"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 const (
@@ -108,7 +108,7 @@
 }
 
 func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
-	var entry platform.HostEntry
+	var entry store.HostEntry
 	if !decode(w, r, &entry) {
 		return
 	}
@@ -134,13 +134,13 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(value)
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, store.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		fail(w, http.StatusNotFound, httpkv.CodeNotFound, err.Error())
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		fail(w, http.StatusConflict, httpkv.CodeConflict, err.Error())
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		fail(w, http.StatusServiceUnavailable, httpkv.CodeUnavailable, err.Error())
 	default:
 		fail(w, http.StatusInternalServerError, "", err.Error())
--- a/internal/standin/platform/handler_test.go
+++ b/internal/standin/platform/handler_test.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/httpkv"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/httpkv"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 func open(t *testing.T) (*Handler, *httptest.Server, *httpkv.Client) {
@@ -27,10 +27,10 @@
 	return h, server, client
 }
 
-func put(key, value string, version uint64) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+func put(key, value string, version uint64) store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: version}},
+		Writes:     []store.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -41,24 +41,24 @@
 	ctx := t.Context()
 	is.NoErr(c.Commit(ctx, put("a/2", "two", 0)))
 	is.NoErr(c.Commit(ctx, put("a/1", "one", 0)))
-	is.True(errors.Is(c.Commit(ctx, put("a/1", "again", 0)), platform.ErrConflict))
+	is.True(errors.Is(c.Commit(ctx, put("a/1", "again", 0)), store.ErrConflict))
 	rows, err := c.Scan(ctx, "a/", "", 10)
 	is.NoErr(err)
 	is.Equal(len(rows), 2)
 	is.Equal(string(rows[0].Value), "one")
 	_, err = c.Get(ctx, "b")
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, store.ErrNotFound))
 	is.NoErr(c.PutObject(ctx, "x/y", []byte{0, 1}))
 	data, err := c.GetObject(ctx, "x/y")
 	is.NoErr(err)
 	is.Equal(data, []byte{0, 1})
 	is.NoErr(c.DeleteObject(ctx, "x/y"))
 	_, err = c.GetObject(ctx, "x/y")
-	is.True(errors.Is(err, platform.ErrNotFound))
-	is.NoErr(c.Announce(ctx, platform.HostEntry{Host: "h1", Leaving: true}))
+	is.True(errors.Is(err, store.ErrNotFound))
+	is.NoErr(c.Announce(ctx, store.HostEntry{Host: "h1", Leaving: true}))
 	hosts, err := c.Hosts(ctx)
 	is.NoErr(err)
-	is.Equal(hosts, []platform.HostEntry{{Host: "h1", Leaving: true}})
+	is.Equal(hosts, []store.HostEntry{{Host: "h1", Leaving: true}})
 }
 
 // Guards against a write with unknown outcome that is reported as not written, or the reverse.
@@ -67,16 +67,16 @@
 	h, server, c := open(t)
 	ctx := t.Context()
 	h.Memory.SetFaults(memory.Faults{Outage: true})
-	is.True(errors.Is(c.Commit(ctx, put("k", "v", 0)), platform.ErrUnavailable))
+	is.True(errors.Is(c.Commit(ctx, put("k", "v", 0)), store.ErrUnavailable))
 	h.Memory.SetFaults(memory.Faults{LostResponses: 1})
-	is.True(errors.Is(c.Commit(ctx, put("k", "v", 0)), platform.ErrUnknownOutcome))
+	is.True(errors.Is(c.Commit(ctx, put("k", "v", 0)), store.ErrUnknownOutcome))
 	row, err := c.Get(ctx, "k")
 	is.NoErr(err)
 	is.Equal(string(row.Value), "v") // the write with the lost response took effect
 	server.Close()
 	fresh, err := httpkv.New(server.URL) // c may hold a connection that it does not know to be closed
 	is.NoErr(err)
-	is.True(errors.Is(fresh.Commit(ctx, put("k", "w", row.Version)), platform.ErrUnavailable)) // never sent
+	is.True(errors.Is(fresh.Commit(ctx, put("k", "w", row.Version)), store.ErrUnavailable)) // never sent
 }
 
 // Guards against a 5xx status from something in between that counts as proof that nothing was written.
@@ -88,9 +88,9 @@
 	defer server.Close()
 	c, err := httpkv.New(server.URL)
 	is.NoErr(err)
-	is.True(errors.Is(c.Commit(t.Context(), put("k", "v", 0)), platform.ErrUnknownOutcome))
+	is.True(errors.Is(c.Commit(t.Context(), put("k", "v", 0)), store.ErrUnknownOutcome))
 	_, err = c.Get(t.Context(), "k")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, store.ErrUnavailable))
 }
 
 // Guards against faults that can't be switched from outside.
--- a/pkg/command/claim.go
+++ b/pkg/command/claim.go
@@ -15,7 +15,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -60,7 +60,7 @@
 
 // claimer writes claims of one host into the platform's table, many in one transaction.
 type claimer struct {
-	table platform.Table
+	table store.Table
 	group conc.WaitGroup
 	// inFlight has an element per running transaction.
 	inFlight chan struct{}
@@ -71,7 +71,7 @@
 	next    time.Time
 }
 
-func newClaimer(table platform.Table) *claimer {
+func newClaimer(table store.Table) *claimer {
 	return &claimer{table: table, inFlight: make(chan struct{}, maxInFlight)}
 }
 
@@ -158,7 +158,7 @@
 				c.resolve(c.value, nil)
 			}
 			return
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, store.ErrUnavailable):
 			failAll(batch, err)
 			return
 		}
@@ -170,10 +170,10 @@
 func (w *claimer) commit(batch []*claim) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	var txn platform.Txn
+	var txn store.Txn
 	for _, c := range batch {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: c.row})
-		txn.Writes = append(txn.Writes, platform.Write{Key: c.row, Value: c.data})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: c.row})
+		txn.Writes = append(txn.Writes, store.Write{Key: c.row, Value: c.data})
 	}
 	return w.table.Commit(ctx, txn)
 }
@@ -190,12 +190,12 @@
 
 func (w *claimer) read(c *claim) {
 	holder, err := readRow(w.table, c.row)
-	if err == nil || !errors.Is(err, platform.ErrNotFound) {
+	if err == nil || !errors.Is(err, store.ErrNotFound) {
 		c.resolve(holder, err)
 	}
 }
 
-func readRow(table platform.Table, key string) (*peerv1.CommandRecord, error) {
+func readRow(table store.Table, key string) (*peerv1.CommandRecord, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	row, err := table.Get(ctx, key)
--- a/pkg/command/executor.go
+++ b/pkg/command/executor.go
@@ -13,7 +13,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // retryAfter is suggested where a later send can be answered.
@@ -37,7 +37,7 @@
 // Options are the dependencies of an Executor.
 type Options struct {
 	Self    peer.Identity
-	Table   platform.Table
+	Table   store.Table
 	Caller  peer.Caller
 	Members membership.View
 	Scope   tally.Scope
@@ -204,7 +204,7 @@
 func (e *Executor) withoutRecord(ctx context.Context, cmd Command, sender Sender) Result {
 	holder, err := readRow(e.opts.Table, rowKey(cmd.Service, cmd.Key))
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return refused(http.StatusServiceUnavailable, reply.NotRun, reply.ReasonRecordsFull, retryAfter)
 	case err != nil:
 		return cannotAsk(cmd, http.StatusServiceUnavailable, reply.ReasonRecordsFull, retryAfter)
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -19,18 +19,18 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // table is a table without faults that counts its calls.
 type table struct {
 	mu             sync.Mutex
-	rows           map[string]platform.Row
+	rows           map[string]store.Row
 	commits, reads int
 	latency        time.Duration
 }
 
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (store.Row, error) {
 	time.Sleep(t.latency)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -38,10 +38,10 @@
 	if row, ok := t.rows[key]; ok {
 		return row, nil
 	}
-	return platform.Row{}, platform.ErrNotFound
+	return store.Row{}, store.ErrNotFound
 }
 
-func (t *table) Scan(_ context.Context, prefix, after string, limit int) (rows []platform.Row, _ error) {
+func (t *table) Scan(_ context.Context, prefix, after string, limit int) (rows []store.Row, _ error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, row := range t.rows {
@@ -49,22 +49,22 @@
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+func (t *table) Commit(_ context.Context, txn store.Txn) error {
 	time.Sleep(t.latency)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	for _, w := range txn.Writes {
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: 1}
+		t.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: 1}
 		if w.Delete {
 			delete(t.rows, w.Key)
 		}
@@ -99,7 +99,7 @@
 }
 
 func newExecutor(limits Limits) (*Executor, *table) {
-	t := &table{rows: map[string]platform.Row{}}
+	t := &table{rows: map[string]store.Row{}}
 	self := peer.Identity{Host: "h", Incarnation: 5}
 	return New(Options{Self: self, Table: t, Members: nobody{}, Caller: nobody{}, Limits: limits}), t
 }
@@ -191,9 +191,9 @@
 	})
 }
 
-func claimedRow(hash uint64, host string, at time.Time) platform.Row {
+func claimedRow(hash uint64, host string, at time.Time) store.Row {
 	data, _ := proto.Marshal(&peerv1.CommandRecord{ContentHash: hash, OwnerHost: host, ClaimId: "x", ClaimedUnixMs: at.UnixMilli()})
-	return platform.Row{Value: data, Version: 1}
+	return store.Row{Value: data, Version: 1}
 }
 
 // Guards against a key that is executed with two contents, for both kinds of key, and against a misleading not-run.
--- a/pkg/command/sim_host_test.go
+++ b/pkg/command/sim_host_test.go
@@ -18,7 +18,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // simHost is one incarnation of a host.
@@ -190,54 +190,54 @@
 }
 
 // Get reads a row.
-func (h *simHost) Get(_ context.Context, key string) (platform.Row, error) {
+func (h *simHost) Get(_ context.Context, key string) (store.Row, error) {
 	h.sim.pause(10 * time.Millisecond)
 	if h.unavailable() {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	h.sim.mu.Lock()
 	defer h.sim.mu.Unlock()
 	row, ok := h.sim.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
 // Scan is not used by the simulation.
-func (h *simHost) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+func (h *simHost) Scan(context.Context, string, string, int) ([]store.Row, error) { return nil, nil }
 
 // Commit applies a transaction; its answer may be lost, and it may take effect late.
-func (h *simHost) Commit(_ context.Context, txn platform.Txn) error {
+func (h *simHost) Commit(_ context.Context, txn store.Txn) error {
 	h.sim.pause(10 * time.Millisecond)
 	if h.unavailable() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	if h.sim.chance(0.1) {
 		go func() {
 			h.sim.pause(10 * time.Second)
 			h.sim.apply(txn)
 		}()
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	err := h.sim.apply(txn)
 	if h.sim.chance(0.1) || h.unavailable() {
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	return err
 }
 
-func (s *sim) apply(txn platform.Txn) error {
+func (s *sim) apply(txn store.Txn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if s.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	for _, w := range txn.Writes {
 		s.version++
-		s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: s.version}
+		s.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: s.version}
 	}
 	return nil
 }
--- a/pkg/command/sim_test.go
+++ b/pkg/command/sim_test.go
@@ -16,7 +16,7 @@
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/command"
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -62,7 +62,7 @@
 	cut     map[[2]string]bool
 	hosts   []*simHost
 	targets []*target.Target
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	version uint64
 	servers []*http.Server
 	// permits counts the permits that are held.
@@ -74,7 +74,7 @@
 func newSim(seed uint64, executor func(*simHost) entry.CommandExecutor) *sim {
 	s := &sim{
 		seededSource: newSeededSource(seed, 1), seed: seed, conns: map[*simConn]bool{}, accept: map[string]chan net.Conn{},
-		cut: map[[2]string]bool{}, rows: map[string]platform.Row{}, executor: executor,
+		cut: map[[2]string]bool{}, rows: map[string]store.Row{}, executor: executor,
 	}
 	for i := range simTargets {
 		s.targets = append(s.targets, target.New(target.Options{Slots: 100}))
--- a/pkg/command/sweep.go
+++ b/pkg/command/sweep.go
@@ -10,8 +10,8 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
 	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -73,21 +73,21 @@
 
 // deleteExpired deletes the rows that were claimed before a limit. A conflict means that another domain's host has
 // deleted some of them; the rest goes with the next sweep.
-func (e *Executor) deleteExpired(ctx context.Context, rows []platform.Row, limit int64) error {
-	var txn platform.Txn
+func (e *Executor) deleteExpired(ctx context.Context, rows []store.Row, limit int64) error {
+	var txn store.Txn
 	for _, row := range rows {
 		rec := &peerv1.CommandRecord{}
 		if err := proto.Unmarshal(row.Value, rec); err != nil || rec.GetClaimedUnixMs() >= limit {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 	}
 	if len(txn.Writes) == 0 {
 		return nil
 	}
 	err := e.opts.Table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknownOutcome) {
 		return nil
 	}
 	return steperr.Wrap(err, "delete expired claims", "platform")
--- a/pkg/config/checkpoint.go
+++ b/pkg/config/checkpoint.go
@@ -8,7 +8,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // checkpointAttempts is the number of attempts to enter a checkpoint into the head; the next commit tries again.
@@ -63,7 +63,7 @@
 			m.deleteSuperseded(ctx, h.GetCheckpointVersion(), version)
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		if !m.sleep(ctx, minBackoff) {
@@ -78,9 +78,9 @@
 	if err != nil {
 		return steperr.Wrap(err, "encode head", "")
 	}
-	err = m.platform.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: headKey, Version: h.row}},
-		Writes:     []platform.Write{{Key: headKey, Value: value}},
+	err = m.platform.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: headKey, Version: h.row}},
+		Writes:     []store.Write{{Key: headKey, Value: value}},
 	})
 	return steperr.Wrap(err, "enter checkpoint", "platform")
 }
@@ -118,16 +118,16 @@
 	}
 }
 
-func pruneTxn(rows []platform.Row, last uint64) platform.Txn {
-	var txn platform.Txn
+func pruneTxn(rows []store.Row, last uint64) store.Txn {
+	var txn store.Txn
 	for _, row := range rows {
 		version, err := versionOfKey(row.Key)
 		if err != nil || version > last {
 			break
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 		if change, err := decodeChange(row.Value); err == nil {
-			txn.Writes = append(txn.Writes, platform.Write{Key: requestKey(change.GetRequestId()), Delete: true})
+			txn.Writes = append(txn.Writes, store.Write{Key: requestKey(change.GetRequestId()), Delete: true})
 		}
 	}
 	return txn
--- a/pkg/config/cluster_test.go
+++ b/pkg/config/cluster_test.go
@@ -14,8 +14,8 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // networkDelay is the one-way delay of a control call, unless a test sets another one.
@@ -286,23 +286,23 @@
 
 // pausable delays the answers of the platform while its host is paused, so that the host wakes up with old news.
 type pausable struct {
-	platform.Platform
+	store.Platform
 	node *node
 }
 
-func (p pausable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (p pausable) Get(ctx context.Context, key string) (store.Row, error) {
 	p.node.waitResumed()
 	defer p.node.waitResumed()
 	return p.Platform.Get(ctx, key)
 }
 
-func (p pausable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (p pausable) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	p.node.waitResumed()
 	defer p.node.waitResumed()
 	return p.Platform.Scan(ctx, prefix, after, limit)
 }
 
-func (p pausable) Commit(ctx context.Context, txn platform.Txn) error {
+func (p pausable) Commit(ctx context.Context, txn store.Txn) error {
 	p.node.waitResumed()
 	defer p.node.waitResumed()
 	return p.Platform.Commit(ctx, txn)
--- a/pkg/config/commit.go
+++ b/pkg/config/commit.go
@@ -10,7 +10,7 @@
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // Commit commits mutations as one change and returns its version. A repeat with the same request ID and content returns
 // the version of the first commit. Errors: *ValidationError, *VersionConflict, ErrRequestIDReused;
-// platform.ErrUnavailable if nothing was written; platform.ErrUnknownOutcome if the outcome could not be read back yet,
+// store.ErrUnavailable if nothing was written; store.ErrUnknownOutcome if the outcome could not be read back yet,
 // in which case the caller repeats the call with the same request ID.
 func (m *Manager) Commit(ctx context.Context, requestID string, mutations []*configv1.Mutation) (uint64, error) {
 	if m.options.ReadOnly {
@@ -48,7 +48,7 @@
 	case m.committing <- struct{}{}:
 		defer func() { <-m.committing }()
 	case <-ctx.Done():
-		return 0, errors.Mark(steperr.Wrap(ctx.Err(), "wait for earlier commits", ""), platform.ErrUnavailable)
+		return 0, errors.Mark(steperr.Wrap(ctx.Err(), "wait for earlier commits", ""), store.ErrUnavailable)
 	}
 	a := &attempt{requestID: requestID, mutations: mutations, hash: hashMutations(mutations)}
 	return m.commitUntilResolved(ctx, a)
@@ -68,9 +68,9 @@
 		case err == nil:
 			m.count("commits")
 			return version, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrConflict):
 			m.count("commit_conflicts")
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, store.ErrUnknownOutcome):
 			m.count("commit_unknown")
 		case a.pending:
 			// Any other failure leaves it open whether the earlier transaction takes effect.
@@ -86,9 +86,9 @@
 // giveUp returns the error for a commit that has run out of time.
 func (a *attempt) giveUp(last error) error {
 	if a.pending {
-		return errors.Mark(steperr.Wrap(last, "read back the outcome", "platform"), platform.ErrUnknownOutcome)
+		return errors.Mark(steperr.Wrap(last, "read back the outcome", "platform"), store.ErrUnknownOutcome)
 	}
-	return errors.Mark(steperr.Wrap(last, "commit change", "platform"), platform.ErrUnavailable)
+	return errors.Mark(steperr.Wrap(last, "commit change", "platform"), store.ErrUnavailable)
 }
 
 // commitOnce reads the head, reads back the request ID, and only then commits on condition of that head. The order is
@@ -115,7 +115,7 @@
 	tip := m.history.tipSnapshot()
 	if tip.Version != h.GetVersion() {
 		// Another change arrived since the head was read.
-		return 0, steperr.Wrap(platform.ErrConflict, "commit change", "platform")
+		return 0, steperr.Wrap(store.ErrConflict, "commit change", "platform")
 	}
 	if err := checkBases(tip, a.mutations); err != nil {
 		return 0, err
@@ -154,7 +154,7 @@
 		return 0, err
 	}
 	err = m.platform.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, store.ErrUnknownOutcome) {
 		a.pending, a.pendingRow = true, h.row
 	}
 	if err != nil {
--- a/pkg/config/commit_test.go
+++ b/pkg/config/commit_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // inForceLimit is the requirement at today's size.
@@ -104,9 +104,9 @@
 		nodes[0].client.SetFaults(memory.Faults{LateWrites: 1, LateBy: 20 * time.Second})
 		go func() { time.Sleep(5 * time.Millisecond); c.platform.SetFaults(memory.Faults{Outage: true}) }()
 		_, err := nodes[0].manager.Commit(context.Background(), "x", putAt(place("p"), 0))
-		is.True(errors.Is(err, platform.ErrUnknownOutcome))
+		is.True(errors.Is(err, store.ErrUnknownOutcome))
 		_, err = nodes[1].manager.Commit(context.Background(), "y", putAt(place("q"), 0))
-		is.True(errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome)) // nothing written
+		is.True(errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrUnknownOutcome)) // nothing written
 		time.Sleep(time.Minute)
 		c.platform.SetFaults(memory.Faults{})
 		is.Equal(nodes[1].commit("x", putAt(place("p"), 0)), uint64(1)) // on another host, after the late write
@@ -139,7 +139,7 @@
 		go func() {
 			defer close(done)
 			_, err := nodes[0].manager.Commit(context.Background(), "x", putAt(place("p"), 0))
-			is.True(errors.Is(err, platform.ErrUnknownOutcome))
+			is.True(errors.Is(err, store.ErrUnknownOutcome))
 		}()
 		for !hasRecord(c, "x") {
 			time.Sleep(time.Millisecond)
--- a/pkg/config/history_test.go
+++ b/pkg/config/history_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 func changeAt(version uint64) *configv1.Change {
--- a/pkg/config/manager.go
+++ b/pkg/config/manager.go
@@ -14,7 +14,7 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // Defaults of Options.
@@ -84,7 +84,7 @@
 
 // Manager commits changes, keeps the Store up to date and passes changes on to other hosts.
 type Manager struct {
-	platform platform.Platform
+	platform store.Platform
 	store    *Store
 	caller   peer.Caller
 	view     membership.View
@@ -108,7 +108,7 @@
 }
 
 // NewManager returns a manager and registers its control calls. Run starts it.
-func NewManager(p platform.Platform, store *Store, caller peer.Caller, registrar peer.Registrar, view membership.View,
+func NewManager(p store.Platform, store *Store, caller peer.Caller, registrar peer.Registrar, view membership.View,
 	options Options) *Manager {
 	options.setDefaults()
 	options.Scope = options.Scope.SubScope("config")
--- a/pkg/config/measure_test.go
+++ b/pkg/config/measure_test.go
@@ -10,7 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/matryer/is"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 var measureAll = flag.Bool("measure-all", false, "measure with 216 hosts too")
--- a/pkg/config/module.go
+++ b/pkg/config/module.go
@@ -8,7 +8,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
@@ -17,7 +17,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{telemetry.ModuleID, platform.ModuleID, peer.ModuleID, membership.ModuleID},
+		ID: ModuleID, After: []string{telemetry.ModuleID, store.ModuleID, peer.ModuleID, membership.ModuleID},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -38,13 +38,13 @@
 func (m *Module) Provision(app *kernel.App) error {
 	var (
 		scope   *telemetry.Module
-		p       *platform.Module
+		p       *store.Module
 		node    *peer.Module
 		members *membership.Module
 	)
 	err := kernel.Bind(app,
 		kernel.To(&scope, telemetry.ModuleID),
-		kernel.To(&p, platform.ModuleID),
+		kernel.To(&p, store.ModuleID),
 		kernel.To(&node, peer.ModuleID),
 		kernel.To(&members, membership.ModuleID),
 	)
--- a/pkg/config/poll.go
+++ b/pkg/config/poll.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
 	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -81,4 +81,4 @@
 	}
 }
 
-func isOutage(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
+func isOutage(err error) bool { return errors.Is(err, store.ErrUnavailable) }
--- a/pkg/config/random_test.go
+++ b/pkg/config/random_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 var (
@@ -222,13 +222,13 @@
 		case errors.As(err, &conflict):
 			op.inForce = conflict.InForce
 			return
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, store.ErrUnknownOutcome):
 			open = true
 			n = r.pick(rng)
-		case errors.Is(err, platform.ErrUnavailable) && !open:
+		case errors.Is(err, store.ErrUnavailable) && !open:
 			op.unavailable = true
 			return
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, store.ErrUnavailable):
 			time.Sleep(time.Second)
 			n = r.pick(rng)
 		default:
--- a/pkg/config/rows.go
+++ b/pkg/config/rows.go
@@ -12,7 +12,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // Keys of the rows in the platform's table and of the checkpoints in the object store.
@@ -46,7 +46,7 @@
 // readHead returns the head; before the first change it is version 0 in row version 0.
 func (m *Manager) readHead(ctx context.Context) (head, error) {
 	row, err := m.platform.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return head{Head: &configv1.Head{}}, nil
 	}
 	if err != nil {
@@ -62,7 +62,7 @@
 // readRequest returns the record of a committed request ID, or nil.
 func (m *Manager) readRequest(ctx context.Context, id string) (*configv1.RequestRecord, error) {
 	row, err := m.platform.Get(ctx, requestKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -76,10 +76,10 @@
 }
 
 // commitTxn puts a change, its request record and the new head into one transaction.
-func commitTxn(h head, change *configv1.Change, contentHash uint64) (platform.Txn, error) {
+func commitTxn(h head, change *configv1.Change, contentHash uint64) (store.Txn, error) {
 	next := &configv1.Head{Version: change.GetVersion(), CheckpointVersion: h.GetCheckpointVersion()}
 	record := &configv1.RequestRecord{Version: change.GetVersion(), ContentHash: contentHash}
-	var txn platform.Txn
+	var txn store.Txn
 	for _, row := range []struct {
 		key     string
 		version uint64
@@ -91,10 +91,10 @@
 	} {
 		value, err := proto.Marshal(row.message)
 		if err != nil {
-			return platform.Txn{}, steperr.Wrap(err, "encode change", "")
+			return store.Txn{}, steperr.Wrap(err, "encode change", "")
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.key, Version: row.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.key, Value: value})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: row.key, Version: row.version})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.key, Value: value})
 	}
 	return txn, nil
 }
--- a/pkg/config/spread_test.go
+++ b/pkg/config/spread_test.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // Guards against a host that can't start, or that starts without configuration, during an outage of the platform.
@@ -53,7 +53,7 @@
 		time.Sleep(time.Minute)
 		is.Equal(nodes[8].inForce(), uint64(1)) // it keeps what it has
 		_, err := nodes[8].manager.Commit(context.Background(), "cut-off", putAt(place("x"), 0))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, store.ErrUnavailable))
 		c.platform.SetFaults(memory.Faults{Outage: true}) // only peers can help now
 		c.partition("c", false, false)
 		c.waitInForce(6, inForceLimit, nodes...)
@@ -141,7 +141,7 @@
 			is.True(len(rows) <= 40) // CheckpointEvery + KeepChanges, and room for a checkpoint in progress
 		}
 		_, err := c.platform.GetObject(t.Context(), checkpointName(10))
-		is.True(errors.Is(err, platform.ErrNotFound)) // a replaced checkpoint is deleted
+		is.True(errors.Is(err, store.ErrNotFound)) // a replaced checkpoint is deleted
 		nodes[0].crash()
 		fresh := c.startHost("b-0", "b")
 		c.waitInForce(version, inForceLimit, fresh)
@@ -169,7 +169,7 @@
 	return data
 }
 
-func forceChange(t *testing.T, p platform.Platform, change *configv1.Change) {
+func forceChange(t *testing.T, p store.Platform, change *configv1.Change) {
 	t.Helper()
 	writeRows(t, p, map[string][]byte{
 		changeKey(change.GetVersion()): encode(t, change),
@@ -177,11 +177,11 @@
 	})
 }
 
-func writeRows(t *testing.T, p platform.Platform, rows map[string][]byte) {
+func writeRows(t *testing.T, p store.Platform, rows map[string][]byte) {
 	t.Helper()
-	var txn platform.Txn
+	var txn store.Txn
 	for key, value := range rows {
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
 	}
 	if err := p.Commit(t.Context(), txn); err != nil {
 		t.Fatal(err)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -23,7 +23,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/operator"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // single is the view of a host that is alone.
--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -16,8 +16,8 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
 	"github.com/rattanhitch/rattanhitch/pkg/settings"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // stopReserve is added to the announce and drain times: the modules need it to close after the last request.
@@ -55,12 +55,12 @@
 
 func validate(s *settings.Settings) error {
 	err := s.Validate()
-	for _, name := range platform.Drivers() {
+	for _, name := range store.Drivers() {
 		if name == s.PlatformDriver {
 			return err
 		}
 	}
-	return errors.Join(err, errors.Newf("--platform-driver=%s: must be one of %v", s.PlatformDriver, platform.Drivers()))
+	return errors.Join(err, errors.Newf("--platform-driver=%s: must be one of %v", s.PlatformDriver, store.Drivers()))
 }
 
 // run starts the modules, waits for SIGTERM or SIGINT, and stops them. A second signal ends the wait for requests in
--- a/pkg/daemon/modules.go
+++ b/pkg/daemon/modules.go
@@ -9,7 +9,7 @@
 	_ "github.com/rattanhitch/rattanhitch/pkg/membership"
 	_ "github.com/rattanhitch/rattanhitch/pkg/peer"
 	_ "github.com/rattanhitch/rattanhitch/pkg/permit"
-	_ "github.com/rattanhitch/rattanhitch/pkg/platform"
-	_ "github.com/rattanhitch/rattanhitch/pkg/platform/httpkv"
+	_ "github.com/rattanhitch/rattanhitch/pkg/store"
+	_ "github.com/rattanhitch/rattanhitch/pkg/store/httpkv"
 	_ "github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
--- /dev/null
+++ b/pkg/entry/upstream/upstream_test.go
@@ -0,0 +1,245 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// target accepts connections and lets a test answer the requests on each of them.
+type target struct {
+	net.Listener
+	connections atomic.Int32
+}
+
+func listen(t *testing.T, serve func(conn net.Conn, r *bufio.Reader)) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			tg.connections.Add(1)
+			go serve(conn, bufio.NewReader(conn))
+		}
+	}()
+	return tg
+}
+
+func (tg *target) options() Options {
+	return Options{Address: tg.Addr().String(), SkipLate: true}
+}
+
+func request(ctx context.Context, id string) *http.Request {
+	r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://target/x", nil)
+	r.Header.Set("Id", id)
+	return r
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newClient() *Client { return New((&net.Dialer{}).DialContext) }
+
+func read(t *testing.T, c *Client, o Options, id string) (string, error) {
+	t.Helper()
+	o.Belongs = func(h http.Header) bool { return h.Get("Id") == id }
+	resp, err := c.RoundTrip(request(t.Context(), id), o)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against an answer that reaches the caller of the next request: a target repeats an answer late.
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		first, _ := http.ReadRequest(r)
+		_, _ = io.WriteString(conn, answer(first.Header.Get("Id"), "one"))
+		second, _ := http.ReadRequest(r)
+		_, _ = io.WriteString(conn, answer(first.Header.Get("Id"), "one")+answer(second.Header.Get("Id"), "two"))
+	})
+	c := newClient()
+	got, err := read(t, c, tg.options(), "a")
+	is.NoErr(err)
+	is.Equal(got, "one")
+	got, err = read(t, c, tg.options(), "b")
+	is.NoErr(err)
+	is.Equal(got, "two")
+	is.Equal(tg.connections.Load(), int32(1))
+}
+
+// Guards against bytes after a complete answer that are taken for the next one.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer(q.Header.Get("Id"), "x")+"extra")
+		}
+	})
+	c := newClient()
+	for _, id := range []string{"a", "b"} {
+		got, err := read(t, c, tg.options(), id)
+		is.NoErr(err)
+		is.Equal(got, "x")
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(tg.connections.Load(), int32(2))
+}
+
+// Guards against a request that is sent again when a kept connection breaks: it may have run.
+func TestRequestIsNeverRepeated(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			requests.Add(1)
+			if n == 1 {
+				_ = conn.Close() // the answer is lost
+				return
+			}
+			_, _ = io.WriteString(conn, answer(q.Header.Get("Id"), "x"))
+		}
+	})
+	c := newClient()
+	_, err := read(t, c, tg.options(), "a")
+	is.NoErr(err)
+	_, err = read(t, c, tg.options(), "b")
+	is.True(err != nil)
+	is.True(!errors.Is(err, ErrNotSent))
+	is.Equal(requests.Load(), int32(2))
+}
+
+// Guards against a refusal that says that a request may have run although no connection was opened.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = read(t, newClient(), Options{Address: address}, "a")
+	is.True(errors.Is(err, ErrNotSent))
+}
+
+// Guards against a request on a connection that the target closed while it was idle, which would be lost.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		q, _ := http.ReadRequest(r)
+		_, _ = io.WriteString(conn, answer(q.Header.Get("Id"), "x"))
+		_ = conn.Close()
+	})
+	c := newClient()
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := read(t, c, tg.options(), id)
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against the rest of a long body that the target takes for the next request: it answered before it had read it.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(q.Header.Get("Id"), "early"))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, q.Body)
+	})
+	c := newClient()
+	pr, pw := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(pw, strings.Repeat("x", 8<<10))
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(pw, strings.Repeat("x", 8<<10))
+		_ = pw.Close()
+	}()
+	q, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://target/x", pr)
+	q.ContentLength = 16 << 10
+	q.Header.Set("Id", "a")
+	resp, err := c.RoundTrip(q, tg.options())
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "early")
+	_, err = read(t, c, tg.options(), "b")
+	is.NoErr(err)
+	is.Equal(tg.connections.Load(), int32(2))
+}
+
+// Guards against a response without a length that is cut and looks whole: its connection is reset.
+func TestResetResponseIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	_, err := read(t, newClient(), tg.options(), "a")
+	is.True(err != nil)
+}
+
+// Guards against work that goes on at a target after its caller has gone.
+func TestCancelledRequestClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte() // returns when the connection closes
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := newClient().RoundTrip(request(ctx, "a"), tg.options())
+	is.True(err != nil)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// Guards against a connection that is kept for longer than the target keeps it.
+func TestKeepAliveHeader(t *testing.T) {
+	is := is.New(t)
+	for value, want := range map[string]time.Duration{
+		"": idleTimeout, "timeout=4": 3 * time.Second, "max=3, timeout=2": time.Second, "timeout=1": time.Second / 2,
+		"timeout=0": 0, "timeout=60": idleTimeout, "timeout=x": idleTimeout,
+	} {
+		is.Equal(keptFor(http.Header{"Keep-Alive": {value}}), want)
+	}
+}
--- a/pkg/membership/cluster_test.go
+++ b/pkg/membership/cluster_test.go
@@ -14,7 +14,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // forgetAfter is shorter than the default to keep the simulated time short.
@@ -221,26 +221,26 @@
 	down bool
 	// lag is how long an entry takes to appear.
 	lag     time.Duration
-	entries []platform.HostEntry
+	entries []store.HostEntry
 	reads   int
 }
 
-func (l *hostList) Hosts(context.Context) ([]platform.HostEntry, error) {
+func (l *hostList) Hosts(context.Context) ([]store.HostEntry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	if l.down {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
-	return append([]platform.HostEntry(nil), l.entries...), nil
+	return append([]store.HostEntry(nil), l.entries...), nil
 }
 
-func (l *hostList) Announce(_ context.Context, e platform.HostEntry) error {
+func (l *hostList) Announce(_ context.Context, e store.HostEntry) error {
 	time.Sleep(l.lag)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	for i := range l.entries {
 		if l.entries[i].Host == e.Host {
--- a/pkg/membership/hostlist.go
+++ b/pkg/membership/hostlist.go
@@ -7,7 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // hostListLoop reads the platform's list seldom and at random times, so that many hosts cost the platform little.
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	self := t.Self()
-	err := t.opts.HostList.Announce(ctx, platform.HostEntry{
+	err := t.opts.HostList.Announce(ctx, store.HostEntry{
 		Host: self.Host, FailureDomain: self.FailureDomain, Region: self.Region, PeerAddress: self.PeerAddress,
 		Leaving: self.State == StateLeaving,
 	})
@@ -88,7 +88,7 @@
 }
 
 // takeEntry returns whether the table changed.
-func (t *Tracker) takeEntry(e platform.HostEntry) bool {
+func (t *Tracker) takeEntry(e store.HostEntry) bool {
 	if e.Host == t.opts.Self.Host || e.PeerAddress == "" {
 		return false
 	}
--- a/pkg/membership/module.go
+++ b/pkg/membership/module.go
@@ -8,7 +8,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
@@ -17,7 +17,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{telemetry.ModuleID, platform.ModuleID, peer.ModuleID}, New: func() kernel.Module { return &Module{} },
+		ID: ModuleID, After: []string{telemetry.ModuleID, store.ModuleID, peer.ModuleID}, New: func() kernel.Module { return &Module{} },
 	})
 }
 
@@ -38,12 +38,12 @@
 func (m *Module) Provision(app *kernel.App) error {
 	var (
 		scope *telemetry.Module
-		p     *platform.Module
+		p     *store.Module
 		node  *peer.Module
 	)
 	err := kernel.Bind(app,
 		kernel.To(&scope, telemetry.ModuleID),
-		kernel.To(&p, platform.ModuleID),
+		kernel.To(&p, store.ModuleID),
 		kernel.To(&node, peer.ModuleID),
 	)
 	if err != nil {
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -7,7 +7,7 @@
 
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -95,7 +95,7 @@
 	Caller    peer.Caller
 	Registrar peer.Registrar
 	// HostList is the platform's list; nil means that there is none.
-	HostList platform.HostList
+	HostList store.HostList
 	// Seeds are peer addresses of hosts in any failure domain.
 	Seeds []string
 	// Held returns the permits that this host holds.
--- a/pkg/operator/errors.go
+++ b/pkg/operator/errors.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 var (
@@ -21,7 +21,7 @@
 	var invalid *config.ValidationError
 	var conflict *config.VersionConflict
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, store.ErrUnknownOutcome):
 		return connect.NewError(connect.CodeUnknown, errors.Wrap(err, "the change may have been committed; repeat it with the same request_id"))
 	case errors.As(err, &invalid), errors.Is(err, config.ErrRequestIDReused):
 		return connect.NewError(connect.CodeInvalidArgument, err)
@@ -29,7 +29,7 @@
 		return connect.NewError(connect.CodeFailedPrecondition, err)
 	case errors.As(err, &conflict):
 		return connect.NewError(connect.CodeAborted, err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "nothing was written"))
 	}
 	return connect.NewError(connect.CodeInternal, errors.Wrap(err, "nothing was written"))
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -23,8 +23,8 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
-	"github.com/rattanhitch/rattanhitch/pkg/platform/memory"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // fleet is a view of the hosts h1, which is real, h2, which answers calls, and h3, which does not.
@@ -142,7 +142,7 @@
 	is.True(strings.Contains(err.Error(), `target t: failure_domain = "nowhere": must name an existing place`))
 	f.platform.SetFaults(memory.Faults{Outage: true})
 	is.Equal(connect.CodeOf(f.apply("d", service("u"))), connect.CodeUnavailable)
-	is.Equal(connect.CodeOf(commitError(errors.Mark(errors.Wrap(platform.ErrUnavailable, "x"), platform.ErrUnknownOutcome))), connect.CodeUnknown)
+	is.Equal(connect.CodeOf(commitError(errors.Mark(errors.Wrap(store.ErrUnavailable, "x"), store.ErrUnknownOutcome))), connect.CodeUnknown)
 }
 
 // Guards against a host without configuration that answers with an empty list.
--- a/pkg/platform/httpkv/client.go
+++ b/pkg/store/httpkv/client.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -35,10 +35,10 @@
 	client *http.Client
 }
 
-var _ platform.Platform = (*Client)(nil)
+var _ store.Platform = (*Client)(nil)
 
 func init() {
-	platform.RegisterDriver("httpkv", func(base string) (platform.Platform, error) { return New(base) })
+	store.RegisterDriver("httpkv", func(base string) (store.Platform, error) { return New(base) })
 }
 
 // New returns a client of the platform at a URL with scheme http or https.
@@ -61,28 +61,28 @@
 }
 
 // Get returns a row.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *Client) Get(ctx context.Context, key string) (store.Row, error) {
 	var row Row
 	err := c.read(ctx, PathRow, url.Values{"key": {key}}, &row)
-	return platform.Row(row), err
+	return store.Row(row), err
 }
 
 // Scan returns rows in key order.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var answer Rows
 	if err := c.read(ctx, PathScan, query, &answer); err != nil {
 		return nil, err
 	}
-	rows := make([]platform.Row, 0, len(answer.Rows))
+	rows := make([]store.Row, 0, len(answer.Rows))
 	for _, row := range answer.Rows {
-		rows = append(rows, platform.Row(row))
+		rows = append(rows, store.Row(row))
 	}
 	return rows, nil
 }
 
 // Commit applies a transaction.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *Client) Commit(ctx context.Context, txn store.Txn) error {
 	body, err := json.Marshal(EncodeTxn(txn))
 	if err != nil {
 		return errors.Wrap(err, "encode transaction")
@@ -102,30 +102,30 @@
 	return err
 }
 
-// DeleteObject removes an object; it is not an error if there is none. Errors: platform.ErrUnavailable,
-// platform.ErrUnknownOutcome; repeating it is safe.
+// DeleteObject removes an object; it is not an error if there is none. Errors: store.ErrUnavailable,
+// store.ErrUnknownOutcome; repeating it is safe.
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
 	_, err := c.call(ctx, http.MethodDelete, PathObject, url.Values{"name": {name}}, nil)
 	return err
 }
 
 // Hosts returns the host list.
-func (c *Client) Hosts(ctx context.Context) ([]platform.HostEntry, error) {
+func (c *Client) Hosts(ctx context.Context) ([]store.HostEntry, error) {
 	var answer Hosts
 	err := c.read(ctx, PathHosts, nil, &answer)
 	return answer.Hosts, err
 }
 
 // Announce adds or refreshes an entry of the host list.
-func (c *Client) Announce(ctx context.Context, entry platform.HostEntry) error {
+func (c *Client) Announce(ctx context.Context, entry store.HostEntry) error {
 	body, err := json.Marshal(entry)
 	if err != nil {
 		return errors.Wrap(err, "encode host entry")
 	}
 	_, err = c.call(ctx, http.MethodPost, PathHosts, nil, body)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, store.ErrUnknownOutcome) {
 		// An entry is refreshed by repeating it, so the caller only needs to know that there was no answer.
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, store.ErrUnavailable)
 	}
 	return err
 }
@@ -136,7 +136,7 @@
 		return err
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return errors.Mark(errors.Wrapf(err, "decode answer of %s", path), platform.ErrUnavailable)
+		return errors.Mark(errors.Wrapf(err, "decode answer of %s", path), store.ErrUnavailable)
 	}
 	return nil
 }
--- a/pkg/platform/httpkv/outcome.go
+++ b/pkg/store/httpkv/outcome.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // sentTracker records whether a request got a connection. Without one it can't have reached the platform.
@@ -26,9 +26,9 @@
 // lost maps a call without a complete answer: a write that may have been sent has an unknown outcome.
 func lost(err error, method string, connected bool) error {
 	if method == http.MethodGet || !connected {
-		return errors.Mark(errors.Wrap(err, "platform"), platform.ErrUnavailable)
+		return errors.Mark(errors.Wrap(err, "platform"), store.ErrUnavailable)
 	}
-	return errors.Mark(errors.Wrap(err, "platform"), platform.ErrUnknownOutcome)
+	return errors.Mark(errors.Wrap(err, "platform"), store.ErrUnknownOutcome)
 }
 
 // refused maps an answer with an error status. Only a code of the protocol proves that nothing was written: a 5xx status
@@ -39,16 +39,16 @@
 	err := errors.Newf("platform answered %d %s: %s", status, failure.Code, failure.Message)
 	switch failure.Code {
 	case CodeNotFound:
-		return errors.Mark(err, platform.ErrNotFound)
+		return errors.Mark(err, store.ErrNotFound)
 	case CodeConflict:
-		return errors.Mark(err, platform.ErrConflict)
+		return errors.Mark(err, store.ErrConflict)
 	case CodeUnavailable:
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, store.ErrUnavailable)
 	case CodeInvalid:
 		return err
 	}
 	if method == http.MethodGet {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, store.ErrUnavailable)
 	}
-	return errors.Mark(err, platform.ErrUnknownOutcome)
+	return errors.Mark(err, store.ErrUnknownOutcome)
 }
--- a/pkg/platform/httpkv/wire.go
+++ b/pkg/store/httpkv/wire.go
@@ -1,7 +1,7 @@
 // Package httpkv is the platform driver for the HTTP/JSON protocol of the stand-in platform.
 package httpkv
 
-import "github.com/rattanhitch/rattanhitch/pkg/platform"
+import "github.com/rattanhitch/rattanhitch/pkg/store"
 
 // Paths of the protocol. Keys and names are query parameters, because they contain slashes.
 const (
@@ -59,11 +59,11 @@
 
 // Hosts is the host list.
 type Hosts struct {
-	Hosts []platform.HostEntry `json:"hosts"`
+	Hosts []store.HostEntry `json:"hosts"`
 }
 
 // EncodeTxn converts a transaction to its wire form.
-func EncodeTxn(txn platform.Txn) Txn {
+func EncodeTxn(txn store.Txn) Txn {
 	var wire Txn
 	for _, c := range txn.Conditions {
 		wire.Conditions = append(wire.Conditions, Condition(c))
@@ -75,13 +75,13 @@
 }
 
 // DecodeTxn converts a transaction from its wire form.
-func DecodeTxn(wire Txn) platform.Txn {
-	var txn platform.Txn
+func DecodeTxn(wire Txn) store.Txn {
+	var txn store.Txn
 	for _, c := range wire.Conditions {
-		txn.Conditions = append(txn.Conditions, platform.Condition(c))
+		txn.Conditions = append(txn.Conditions, store.Condition(c))
 	}
 	for _, w := range wire.Writes {
-		txn.Writes = append(txn.Writes, platform.Write(w))
+		txn.Writes = append(txn.Writes, store.Write(w))
 	}
 	return txn
 }
--- a/pkg/platform/memory/data.go
+++ b/pkg/store/memory/data.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // maxHostHistory bounds the host lists that are kept for HostListLag.
@@ -16,13 +16,13 @@
 // hostList is the list as it was from a moment on.
 type hostList struct {
 	since time.Time
-	hosts map[string]platform.HostEntry
+	hosts map[string]store.HostEntry
 }
 
 // data is what all clients of one platform share.
 type data struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	objects map[string][]byte
 	// versions counts writes, so that a row that is deleted and created again never repeats a version.
 	versions uint64
@@ -37,21 +37,21 @@
 }
 
 func newData() *data {
-	return &data{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &data{rows: map[string]store.Row{}, objects: map[string][]byte{}}
 }
 
-func (d *data) get(key string) (platform.Row, error) {
+func (d *data) get(key string) (store.Row, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	row, ok := d.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	}
 	row.Value = slices.Clone(row.Value)
 	return row, nil
 }
 
-func (d *data) scan(prefix, after string, limit int) []platform.Row {
+func (d *data) scan(prefix, after string, limit int) []store.Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var keys []string
@@ -61,7 +61,7 @@
 		}
 	}
 	slices.Sort(keys)
-	rows := make([]platform.Row, 0, min(len(keys), limit))
+	rows := make([]store.Row, 0, min(len(keys), limit))
 	for _, key := range keys[:min(len(keys), limit)] {
 		row := d.rows[key]
 		row.Value = slices.Clone(row.Value)
@@ -70,12 +70,12 @@
 	return rows
 }
 
-func (d *data) commit(txn platform.Txn) error {
+func (d *data) commit(txn store.Txn) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if d.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	for _, w := range txn.Writes {
@@ -84,7 +84,7 @@
 			continue
 		}
 		d.versions++
-		d.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: d.versions}
+		d.rows[w.Key] = store.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: d.versions}
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 	defer d.mu.Unlock()
 	value, ok := d.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, store.ErrNotFound
 	}
 	return slices.Clone(value), nil
 }
@@ -111,10 +111,10 @@
 	delete(d.objects, name)
 }
 
-func (d *data) announce(entry platform.HostEntry, now time.Time) {
+func (d *data) announce(entry store.HostEntry, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	hosts := map[string]platform.HostEntry{}
+	hosts := map[string]store.HostEntry{}
 	if n := len(d.history); n > 0 {
 		if d.history[n-1].hosts[entry.Host] == entry {
 			return
@@ -129,7 +129,7 @@
 }
 
 // hostsAt returns the list as it was at a moment, sorted by host name.
-func (d *data) hostsAt(moment time.Time) []platform.HostEntry {
+func (d *data) hostsAt(moment time.Time) []store.HostEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, list := range slices.Backward(d.history) {
@@ -137,7 +137,7 @@
 			continue
 		}
 		names := slices.Sorted(maps.Keys(list.hosts))
-		entries := make([]platform.HostEntry, 0, len(names))
+		entries := make([]store.HostEntry, 0, len(names))
 		for _, name := range names {
 			entries = append(entries, list.hosts[name])
 		}
--- a/pkg/platform/memory/memory.go
+++ b/pkg/store/memory/memory.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // Platform is a platform in memory.
@@ -19,11 +19,11 @@
 	faults   Faults
 }
 
-var _ platform.Platform = (*Platform)(nil)
+var _ store.Platform = (*Platform)(nil)
 
 // The driver "memory" gives each call of Open a platform of its own; it serves a daemon that runs alone.
 func init() {
-	platform.RegisterDriver("memory", func(string) (platform.Platform, error) { return New(), nil })
+	store.RegisterDriver("memory", func(string) (store.Platform, error) { return New(), nil })
 }
 
 // New returns an empty platform.
@@ -40,17 +40,17 @@
 }
 
 // Get returns a row.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
-	return read(ctx, p, func() (platform.Row, error) { return p.data.get(key) })
+func (p *Platform) Get(ctx context.Context, key string) (store.Row, error) {
+	return read(ctx, p, func() (store.Row, error) { return p.data.get(key) })
 }
 
 // Scan returns rows in key order.
-func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return read(ctx, p, func() ([]platform.Row, error) { return p.data.scan(prefix, after, limit), nil })
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	return read(ctx, p, func() ([]store.Row, error) { return p.data.scan(prefix, after, limit), nil })
 }
 
 // Commit applies a transaction.
-func (p *Platform) Commit(ctx context.Context, txn platform.Txn) error {
+func (p *Platform) Commit(ctx context.Context, txn store.Txn) error {
 	return p.write(ctx, func() error { return p.data.commit(txn) })
 }
 
@@ -70,14 +70,14 @@
 }
 
 // Hosts returns the host list as it was HostListLag ago.
-func (p *Platform) Hosts(ctx context.Context) ([]platform.HostEntry, error) {
-	return read(ctx, p, func() ([]platform.HostEntry, error) {
+func (p *Platform) Hosts(ctx context.Context) ([]store.HostEntry, error) {
+	return read(ctx, p, func() ([]store.HostEntry, error) {
 		return p.data.hostsAt(time.Now().Add(-p.hostListLag())), nil
 	})
 }
 
 // Announce adds or refreshes an entry of the host list. Its answer is never lost, because repeating it is harmless.
-func (p *Platform) Announce(ctx context.Context, entry platform.HostEntry) error {
+func (p *Platform) Announce(ctx context.Context, entry store.HostEntry) error {
 	_, err := read(ctx, p, func() (struct{}, error) {
 		p.data.announce(entry, time.Now())
 		return struct{}{}, nil
@@ -98,12 +98,12 @@
 	var zero T
 	faults := p.plan(false)
 	if faults.outage || !sleep.For(ctx, faults.delay/2) {
-		return zero, platform.ErrUnavailable
+		return zero, store.ErrUnavailable
 	}
 	p.data.count(false)
 	value, err := do()
 	if !sleep.For(ctx, faults.delay/2) {
-		return zero, platform.ErrUnavailable
+		return zero, store.ErrUnavailable
 	}
 	return value, err
 }
@@ -112,12 +112,12 @@
 func (p *Platform) write(ctx context.Context, do func() error) error {
 	faults := p.plan(true)
 	if faults.outage || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	p.data.count(true)
 	if faults.write == writeLate {
 		time.AfterFunc(faults.lateBy, func() { _ = do() })
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	if faults.delay == 0 {
 		return answer(faults, do())
@@ -125,14 +125,14 @@
 	done := make(chan error, 1)
 	time.AfterFunc(faults.delay/2, func() { done <- do() })
 	if !sleep.For(ctx, faults.delay) {
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	return answer(faults, <-done)
 }
 
 func answer(faults plan, err error) error {
 	if faults.write == writeResponseLost {
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	return err
 }
--- a/pkg/platform/module.go
+++ b/pkg/store/module.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/pkg/platform/platform.go
+++ b/pkg/store/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the narrow interface to the users' platform: a transactional table, an object store and a lagging
+// Package store is the narrow interface to the users' platform: a transactional table, an object store and a lagging
 // list of hosts. Drivers register themselves in init.
-package platform
+package store
 
 import (
 	"context"
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -5,7 +5,7 @@
 	"time"
 
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // tombstoneTime is how long a deleted row is remembered, so that a peer that read earlier does not bring it back.
@@ -89,7 +89,7 @@
 
 // update is news of a table.
 type update struct {
-	rows    []platform.WatchedRow
+	rows    []store.WatchedRow
 	version uint64
 	// full is set if rows holds all rows of the table.
 	full bool
@@ -100,7 +100,7 @@
 }
 
 // merge takes over what is newer and returns the rows whose meaning changed.
-func (t *Table) merge(u update, now time.Time) []platform.WatchedRow {
+func (t *Table) merge(u update, now time.Time) []store.WatchedRow {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u.returned > 0 {
@@ -108,7 +108,7 @@
 			t.returnedAt = at
 		}
 	}
-	var changed []platform.WatchedRow
+	var changed []store.WatchedRow
 	listed := map[string]bool{}
 	for _, r := range u.rows {
 		listed[r.Key] = true
@@ -134,7 +134,7 @@
 }
 
 // mergeRow returns whether the meaning of a row changed.
-func (t *Table) mergeRow(r platform.WatchedRow, now time.Time) bool {
+func (t *Table) mergeRow(r store.WatchedRow, now time.Time) bool {
 	known := t.rows[r.Key]
 	if known != nil && known.version >= r.Version {
 		return false
@@ -147,14 +147,14 @@
 	return meaning
 }
 
-func (t *Table) deleteUnlisted(listed map[string]bool, version uint64, now time.Time) []platform.WatchedRow {
-	var changed []platform.WatchedRow
+func (t *Table) deleteUnlisted(listed map[string]bool, version uint64, now time.Time) []store.WatchedRow {
+	var changed []store.WatchedRow
 	for key, r := range t.rows {
 		if listed[key] || r.deleted || r.version > version {
 			continue
 		}
 		if t.delete(key, version, now) {
-			changed = append(changed, platform.WatchedRow{Key: key, Version: version, Deleted: true})
+			changed = append(changed, store.WatchedRow{Key: key, Version: version, Deleted: true})
 		}
 	}
 	return changed
@@ -204,7 +204,7 @@
 }
 
 // news returns a message with some rows. It has no version: rows that changed without a meaning are left out of it.
-func (t *Table) news(rows []platform.WatchedRow, now time.Time) *peerv1.WatchedTable {
+func (t *Table) news(rows []store.WatchedRow, now time.Time) *peerv1.WatchedTable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &peerv1.WatchedTable{Table: t.name, ReturnedMs: t.returnedMs(now)}
@@ -230,7 +230,7 @@
 		returned: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
 	for _, r := range m.GetRows() {
-		u.rows = append(u.rows, platform.WatchedRow{
+		u.rows = append(u.rows, store.WatchedRow{
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
 		})
 	}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -19,8 +19,8 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/platform"
 	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
@@ -61,7 +61,7 @@
 
 // Options are the dependencies of a Follower.
 type Options struct {
-	Feed      platform.Feed
+	Feed      store.Feed
 	View      membership.View
 	Caller    peer.Caller
 	Registrar peer.Registrar
@@ -166,7 +166,7 @@
 	if after > 0 {
 		u.rows, u.version, err = f.opts.Feed.Changes(ctx, t.name, after, wait)
 	}
-	if after == 0 || errors.Is(err, platform.ErrHistoryLost) {
+	if after == 0 || errors.Is(err, store.ErrHistoryLost) {
 		u.full = true
 		u.rows, u.version, err = f.opts.Feed.List(ctx, t.name)
 	}
@@ -206,7 +206,7 @@
 }
 
 // push passes changes on to the hosts of the dispatch domain. One that misses them asks soon after.
-func (f *Follower) push(ctx context.Context, t *followed, changed []platform.WatchedRow) {
+func (f *Follower) push(ctx context.Context, t *followed, changed []store.WatchedRow) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
 	defer cancel()
 	m := t.news(changed, time.Now())
--- /dev/null
+++ b/pkg/watch/watch_test.go
@@ -0,0 +1,183 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/pkg/membership"
+	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+)
+
+// feed is a table that refuses some readers. Its version grows with each row.
+type feed struct {
+	mu      sync.Mutex
+	rows    []store.WatchedRow
+	version uint64
+	reads   int
+}
+
+func (f *feed) put(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.rows = append(f.rows, put(key, value, f.version))
+}
+
+// reader is the feed as one host sees it.
+type reader struct {
+	*feed
+	refuse bool
+}
+
+func (r *reader) read(after uint64) ([]store.WatchedRow, uint64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reads++
+	if r.refuse {
+		return nil, 0, errors.Mark(errors.New("refused"), store.ErrUnavailable)
+	}
+	var list []store.WatchedRow
+	for _, row := range r.rows {
+		if row.Version > after {
+			list = append(list, row)
+		}
+	}
+	return list, max(r.version, 1), nil
+}
+
+func (r *reader) List(context.Context, string) ([]store.WatchedRow, uint64, error) { return r.read(0) }
+
+func (r *reader) Changes(_ context.Context, _ string, after uint64, wait time.Duration) ([]store.WatchedRow, uint64, error) {
+	rows, version, err := r.read(after)
+	if err == nil && len(rows) == 0 {
+		time.Sleep(wait)
+		rows, version, err = r.read(after)
+	}
+	return rows, version, err
+}
+
+// network passes calls between the followers of a test without delay.
+type network struct {
+	handlers map[string]map[string]peer.Handler
+}
+
+type node struct {
+	*network
+	self string
+}
+
+func (n node) Handle(method string, h peer.Handler) { n.handlers[n.self][method] = h }
+
+func (n node) Call(ctx context.Context, to peer.Address, method string, req, resp proto.Message) error {
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	answer, err := n.handlers[to.Host][method](ctx, peer.Identity{Host: n.self}, payload)
+	if err != nil {
+		return err
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+// view is a fixed set of hosts.
+type view struct {
+	self    string
+	members []membership.Member
+}
+
+func (v view) Self() membership.Member           { m, _ := v.Lookup(v.self); return m }
+func (v view) Domain(string) []membership.Member { return v.members }
+func (v view) All() []membership.Member          { return v.members }
+func (v view) Changed() <-chan struct{}          { return nil }
+func (v view) Lookup(host string) (membership.Member, bool) {
+	for _, m := range v.members {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// follow runs a follower on each host and returns their tables and their readers.
+func follow(t *testing.T, f *feed, hosts ...string) (map[string]*Table, map[string]*reader) {
+	n := &network{handlers: map[string]map[string]peer.Handler{}}
+	var members []membership.Member
+	for _, h := range hosts {
+		n.handlers[h] = map[string]peer.Handler{}
+		members = append(members, membership.Member{Host: h, FailureDomain: "d"})
+	}
+	tables, readers := map[string]*Table{}, map[string]*reader{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	for _, h := range hosts {
+		readers[h] = &reader{feed: f}
+		follower := NewFollower(Options{
+			Feed: readers[h], View: view{h, members}, Caller: node{n, h}, Registrar: node{n, h},
+		})
+		tables[h] = follower.Add(TableOptions{Name: "t", Wait: 800 * time.Millisecond, Same: equal})
+		running.Go(func() { follower.Run(ctx) })
+	}
+	return tables, readers
+}
+
+// Guards against a store that is read by each host, and against hosts that miss what the reader of their domain knows.
+func TestOneHostReadsForAll(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{}
+		f.put("a", "1")
+		tables, _ := follow(t, f, "h1", "h2", "h3", "h4")
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		before := f.reads
+		f.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		f.mu.Lock()
+		is.True(f.reads-before <= 2*12) // a read of 0.8 s looks twice; four readers would look 80 times
+		f.mu.Unlock()
+		f.put("b", "2")
+		time.Sleep(time.Second)
+		for _, table := range tables {
+			is.Equal(keys(table, time.Now()), map[string]string{"a": "1", "b": "2"})
+		}
+	})
+}
+
+// Guards against a host that the platform turns away and that therefore goes by old news, whichever host that is: also the
+// one that reads for its domain, whose news the others then must not wait for.
+func TestRefusedHostsHearFromOthers(t *testing.T) {
+	for _, refused := range []string{"h1", "h2", "h3"} {
+		t.Run(refused, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &feed{}
+				f.put("a", "1")
+				tables, readers := follow(t, f, "h1", "h2", "h3")
+				time.Sleep(3 * time.Second)
+				f.mu.Lock()
+				readers[refused].refuse = true
+				f.mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				f.put("b", "2")
+				time.Sleep(2400 * time.Millisecond) // a change of the configuration is in force within 2.5 s
+				for host, table := range tables {
+					if len(keys(table, time.Now())) != 2 {
+						t.Errorf("host %s does not know the change", host)
+					}
+				}
+				is.True(len(tables) == 3)
+			})
+		})
+	}
+}
