Spread requests over targets of equal speed, and test placement by replayed load

Cause: the new test of a shedding target showed that targets of equal expected time were chosen in a fixed order: two of eight got all requests. Times within 3% now count as equal, and the target with more room comes first.

--- /dev/null
+++ b/pkg/permit/balance_test.go
@@ -0,0 +1,134 @@
+package permit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func part(shares []share, domain string) float64 { return partOf(shares, domain).part }
+
+func near(a, b float64) bool { return math.Abs(a-b) < 0.005 }
+
+// Guards against a region with few slots that refuses its callers while others have room, against a full one that takes
+// more, and against requests that move although there is no need.
+func TestRegionsAreEquallyLoaded(t *testing.T) {
+	is := is.New(t)
+	load := func(domain string, slots, demand float64) DomainLoad {
+		return DomainLoad{Domain: domain, Slots: slots, Demand: demand, Known: true}
+	}
+	small := equalLoad("a", []DomainLoad{load("a", 10, 30), load("b", 40, 30), load("c", 40, 30)})
+	is.True(near(part(small, "a"), 1.0/3)) // 10 of its 30, as the others have 40 for 40
+	is.True(near(part(small, "b"), part(small, "c")))
+	big := equalLoad("b", []DomainLoad{load("a", 10, 30), load("b", 40, 30), load("c", 40, 30)})
+	is.True(near(part(big, "b"), 1))
+	idle := equalLoad("a", []DomainLoad{load("a", 10, 5), load("b", 40, 30)})
+	is.True(near(part(idle, "a"), 1))
+	over := equalLoad("a", []DomainLoad{load("a", 10, 60), load("b", 40, 60)})
+	is.True(near(part(over, "a"), 24.0/60)) // both regions get 2.4 times what they can serve
+	none := equalLoad("a", []DomainLoad{load("a", 0, 10), load("b", 40, 10)})
+	is.True(near(part(none, "b"), 1))
+	alone := equalLoad("a", []DomainLoad{load("a", 10, 60)})
+	is.True(near(part(alone, "a"), 1))
+	unknown := equalLoad("a", []DomainLoad{load("a", 10, 0), load("b", 30, 0)})
+	is.True(near(part(unknown, "a"), 0.5)) // equal demand: 10 of 20
+}
+
+// Guards against a shift between regions that is faster than its limit, whatever the demand does.
+func TestSharesChangeSlowly(t *testing.T) {
+	is := is.New(t)
+	from := []share{{domain: "a", part: 1}, {domain: "b"}, {domain: "c"}}
+	to := []share{{domain: "a", part: 0.2}, {domain: "b", part: 0.5}, {domain: "c", part: 0.3}}
+	const most = 0.01
+	for range 200 {
+		next := approach(from, to, most)
+		moved, sum := 0.0, 0.0
+		for _, s := range next {
+			moved += max(0, s.part-part(from, s.domain))
+			sum += s.part
+		}
+		is.True(moved <= most+1e-9)
+		is.True(near(sum, 1))
+		from = next
+	}
+	is.True(near(part(from, "a"), 0.2))
+	gone := approach(from, []share{{domain: "a", part: 0.4}, {domain: "b", part: 0.6}}, most)
+	is.True(near(part(gone, "a")+part(gone, "b"), 1)) // a domain that is gone gets nothing at once
+}
+
+// Guards against objects that wander between regions, and against shares that do not hold within a few requests because few
+// objects are popular.
+func TestObjectsStayInTheirRegion(t *testing.T) {
+	is := is.New(t)
+	b := &balance{own: "a", shares: []share{{domain: "a", part: 0.4}, {domain: "b", part: 0.35}, {domain: "c", part: 0.25}}}
+	const requests, objects = 4000, 80
+	counts := map[string]float64{}
+	places := map[int]map[string]int{}
+	for i := range requests {
+		object := i * 7 % objects
+		s := b.draw(hash(object))
+		counts[s.domain]++
+		if places[object] == nil {
+			places[object] = map[string]int{}
+		}
+		places[object][s.domain]++
+		for _, s := range b.shares {
+			is.True(math.Abs(s.owed) <= 2*maxDrift+2)
+		}
+	}
+	for _, s := range b.shares {
+		is.True(math.Abs(counts[s.domain]/requests-s.part) < 0.01)
+	}
+	most := 0
+	for _, byDomain := range places {
+		top := 0
+		for _, n := range byDomain {
+			top = max(top, n)
+		}
+		most += top
+	}
+	is.True(float64(most)/requests > 0.8) // of the requests on an object are served in one region
+}
+
+func hash(object int) uint64 {
+	var t target
+	t.nameHash = uint64(object) * 0xff51afd7ed558ccd
+	return max(t.weight(uint64(object)), 1)
+}
+
+// Guards against a request that leaves its home regions.
+func TestHomeRegionsBind(t *testing.T) {
+	is := is.New(t)
+	b := &balance{own: "a", region: "ra", shares: []share{
+		{domain: "a", region: "ra", part: 0.2}, {domain: "b", region: "rb", part: 0.5}, {domain: "c", region: "rc", part: 0.3},
+	}}
+	place := func(homes ...string) string { return b.placeHome(&waiter{req: Request{HomeRegions: homes}}) }
+	is.Equal(place("ra", "rb"), "")
+	is.Equal(place("rc"), "c")
+	is.Equal(place("rb", "rc"), "b")
+	is.Equal(place("rx"), noDomain)
+}
+
+// Guards against a target that is taken to remember an object that many others have replaced.
+func TestRecency(t *testing.T) {
+	is := is.New(t)
+	var r recency
+	for i := range uint64(knownObjects + 10) {
+		r = r.use(i + 1)
+	}
+	is.Equal(len(r), knownObjects)
+	is.Equal(r.rank(knownObjects+10), 0)
+	is.Equal(r.rank(knownObjects+9), 1)
+	is.Equal(r.rank(1), knownObjects)
+	r = r.use(knownObjects + 1)
+	is.Equal(r.rank(knownObjects+1), 0)
+	is.Equal(r.rank(knownObjects+10), 1)
+	is.Equal(len(r), knownObjects)
+	seen := map[string]bool{}
+	for _, o := range r {
+		seen[fmt.Sprint(o)] = true
+	}
+	is.Equal(len(seen), knownObjects)
+}
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -20,6 +20,8 @@
 	patience = 8
 	// reserveShare is the part of the slots, as 1/n, that must be free for a request that will be late.
 	reserveShare = 20
+	// equalShare is the difference of expected times, as a share, below which they count as equal.
+	equalShare = 0.03
 	// urgentValid is how long a request keeps slots back from less urgent ones of its service.
 	urgentValid = 2 * time.Second
 	// maxObjectiveQueue bounds the requests that wait; patience ends most waits long before.
@@ -155,12 +157,10 @@
 	return nil
 }
 
-// bestTarget returns the free target at which a request is expected to end first. Among equals, the one that served the
-// object most recently comes first, and for a new object the one that its hash prefers, so that objects spread over the
-// targets and stay where they are.
+// bestTarget returns the free target at which a request is expected to end first. Times that differ little count as equal:
+// then the target with more room comes first, and for an object that none of them remembers the one that its hash prefers,
+// so that objects spread over the targets and stay where they are.
 func (d *dispatcher) bestTarget(w *waiter, now time.Time) (best *target, expected time.Duration) {
-	var bestRank int
-	var bestWeight uint64
 	for _, t := range d.slots.order {
 		if t.freeFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) || d.avoids(t, w, now) ||
 			!d.isApart(t, w, now) || !t.coldAdmits(now) {
@@ -169,18 +169,26 @@
 		if t.quality.quarantined || t.quality.down {
 			return t, 0 // due for a probe
 		}
-		e, rank, weight := d.expected(w, t, now), t.recent.rank(w.req.Object), t.weight(w.req.Object)
-		better := best == nil || e < expected
-		if best != nil && e == expected {
-			better = rank < bestRank || rank == bestRank && weight > bestWeight
-		}
-		if better {
-			best, expected, bestRank, bestWeight = t, e, rank, weight
+		e := d.expected(w, t, now)
+		if best == nil || isBetter(w, t, best, e, expected) {
+			best, expected = t, e
 		}
 	}
 	return best, expected
 }
 
+// isBetter compares two targets by the times that a request is expected to take there.
+func isBetter(w *waiter, t, best *target, expected, bestExpected time.Duration) bool {
+	margin := time.Duration(equalShare * float64(bestExpected))
+	if expected < bestExpected-margin || expected > bestExpected+margin {
+		return expected < bestExpected
+	}
+	if w.req.Object != 0 && !t.remembers(w.req.Object) && !best.remembers(w.req.Object) {
+		return t.weight(w.req.Object) > best.weight(w.req.Object)
+	}
+	return t.lessLoaded(best, w.class)
+}
+
 // retryHint is when a refused request can come back: a request that could still be in time when the next slots return, any
 // other later.
 func (d *dispatcher) retryHint(w *waiter, now time.Time) time.Duration {
--- /dev/null
+++ b/pkg/permit/objective_test.go
@@ -0,0 +1,218 @@
+package permit_test
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/permittest"
+)
+
+// load replays requests with an objective. A request takes the warm time at a target that served its object as one of the
+// last memory objects, and the cold time elsewhere.
+type load struct {
+	d          *domain
+	objective  time.Duration
+	warm, cold time.Duration
+	memory     int
+	recent     map[string][]int
+
+	inTime, late, refused atomic.Int64
+	waited                atomic.Int64
+}
+
+func (l *load) send(object int, priority uint32) {
+	d := l.d
+	req := d.request("lookup", 4*l.objective)
+	req.Object = uint64(object+1) * 0x9e3779b97f4a7c15
+	req.Priority = priority
+	req.Objective = time.Now().Add(l.objective)
+	host := d.Hosts()[object%len(d.Hosts())]
+	d.pending.Go(func() {
+		start := time.Now()
+		g, err := host.Acquire(context.Background(), req)
+		l.waited.Store(max(l.waited.Load(), int64(time.Since(start))))
+		if err != nil {
+			l.refused.Add(1)
+			return
+		}
+		work := l.work(g.Target, object)
+		d.enter(g.Target)
+		time.Sleep(work)
+		d.leave(g.Target)
+		g.Release(permit.Observation{Outcome: ok, FirstByte: work, Total: work})
+		if time.Since(start) <= l.objective {
+			l.inTime.Add(1)
+		} else {
+			l.late.Add(1)
+		}
+	})
+}
+
+func (l *load) work(target string, object int) time.Duration {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	list, work := []int{object}, l.cold
+	for _, o := range l.recent[target] {
+		if o == object {
+			work = l.warm
+		} else if len(list) < l.memory {
+			list = append(list, o)
+		}
+	}
+	l.recent[target] = list
+	return work
+}
+
+var busyLookup = permittest.Service{Name: "lookup", Domain: "d1", Targets: 8, Slots: 4}
+
+// Guards against an overload that spends the slots on late answers: with arrivals for half as many slots again as there are,
+// most of what is served must be in time, and what is refused must be refused early.
+func TestOverloadIsServedInTime(t *testing.T) {
+	run(t, 1, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
+		l := &load{
+			d: d, objective: 250 * time.Millisecond, warm: 190 * time.Millisecond, cold: 265 * time.Millisecond, memory: 40,
+			recent: map[string][]int{},
+		}
+		const slots, objects = 32, 80
+		interval := time.Duration(float64(l.warm) / slots / 1.5)
+		for range 4000 { // the objects become known
+			l.send(d.rng.IntN(objects), 0)
+			time.Sleep(interval)
+		}
+		time.Sleep(time.Second)
+		l.inTime.Store(0)
+		l.late.Store(0)
+		l.refused.Store(0)
+		l.waited.Store(0)
+		const requests = 6000
+		for range requests {
+			l.send(d.rng.IntN(objects), 0)
+			time.Sleep(interval)
+		}
+		time.Sleep(time.Second)
+		t.Logf("in time %d, late %d, refused %d, longest wait %s", l.inTime.Load(), l.late.Load(), l.refused.Load(),
+			time.Duration(l.waited.Load()))
+		is.True(l.inTime.Load() > requests*55/100)              // of at most 67 in 100
+		is.True(l.late.Load() < l.inTime.Load()/10)             // slots go to answers in time
+		is.True(time.Duration(l.waited.Load()) < l.objective/6) // refused early
+		for target, n := range d.peak {
+			if n > busyLookup.Slots {
+				t.Errorf("target %s had %d requests", target, n)
+			}
+		}
+	})
+}
+
+// Guards against urgent requests that are refused as often as others of their service.
+func TestUrgentRequestsComeFirst(t *testing.T) {
+	run(t, 2, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
+		l := map[uint32]*load{}
+		for p := range uint32(2) {
+			l[p] = &load{
+				d: d, objective: 250 * time.Millisecond, warm: 190 * time.Millisecond, cold: 190 * time.Millisecond,
+				recent: map[string][]int{},
+			}
+		}
+		for i := range 6000 {
+			p := uint32(i % 2)
+			l[p].send(d.rng.IntN(20), p)
+			time.Sleep(4 * time.Millisecond) // 47 slots asked for, 24 of them by each kind
+		}
+		time.Sleep(time.Second)
+		t.Logf("urgent: %d in time, %d refused; others: %d in time, %d refused", l[0].inTime.Load(), l[0].refused.Load(),
+			l[1].inTime.Load(), l[1].refused.Load())
+		is.True(l[0].refused.Load() < 3000*5/100)
+		is.True(l[1].inTime.Load() > 3000*15/100) // the room that is left is used
+	})
+}
+
+// Guards against more requests to a cold target than it bears, which crash it.
+func TestColdTargetGetsFewRequests(t *testing.T) {
+	objects := permittest.Objects(permittest.Service{Name: "lookup", Domain: "d1", Targets: 1, Slots: 50})
+	objects[0].GetService().ColdRequestsPerSecond = 8
+	objects[1].GetTarget().ColdMs = 5000
+	run(t, 3, 2, objects, func(d *domain, is *is.I) {
+		l := &load{d: d, objective: time.Second, warm: 10 * time.Millisecond, cold: 10 * time.Millisecond, recent: map[string][]int{}}
+		for range 3 { // the dispatcher has run for a second
+			l.inTime.Store(0)
+			for range 100 {
+				l.send(1, 0)
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.True(l.inTime.Load()+l.late.Load() <= 8+2+1)
+		}
+		time.Sleep(2 * time.Second)
+		l.inTime.Store(0)
+		for range 100 {
+			l.send(1, 0)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(l.inTime.Load() > 95)
+	})
+}
+
+// Guards against a region without targets of a service that refuses its callers, and against a forwarded request that is
+// sent on again.
+func TestRequestsGoElsewhere(t *testing.T) {
+	objects := append(permittest.Objects(permittest.Service{Name: "lookup", Domain: "d2", Targets: 2, Slots: 4}),
+		&configv1.Object{Kind: &configv1.Object_Policy{Policy: &configv1.Policy{
+			Name: "p", Service: "lookup", BalanceRegions: true,
+		}}})
+	run(t, 4, 2, objects, func(d *domain, is *is.I) {
+		for _, h := range d.Hosts() {
+			h.SetLoads([]permit.DomainLoad{{Domain: "d2", Region: "r2", Slots: 8, Known: true}})
+		}
+		time.Sleep(time.Second)
+		req := d.request("lookup", time.Second)
+		req.Objective, req.Follows = time.Now().Add(time.Second), true
+		_, err := d.Hosts()[0].Acquire(context.Background(), req)
+		var elsewhere *permit.ElsewhereError
+		is.True(errors.As(err, &elsewhere))
+		is.Equal(elsewhere.FailureDomain, "d2")
+		req = d.request("lookup", time.Second)
+		req.Objective, req.Forwarded = time.Now().Add(time.Second), true
+		_, err = d.Hosts()[0].Acquire(context.Background(), req)
+		var refused *permit.RefusedError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Reason, peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET)
+	})
+}
+
+// Guards against a target that fails or sheds requests at once and therefore gets most of them.
+func TestSheddingTargetGetsFewRequests(t *testing.T) {
+	run(t, 5, 2, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
+		counts := map[string]int{}
+		for range 2000 {
+			req := d.request("lookup", time.Second)
+			req.Objective = time.Now().Add(250 * time.Millisecond)
+			req.Route = "/"
+			g, err := d.Hosts()[0].Acquire(context.Background(), req)
+			if err != nil {
+				continue
+			}
+			counts[g.Target]++
+			outcome, took := ok, 20*time.Millisecond
+			if g.Target == "lookup-3" {
+				outcome, took = peerv1.ReleaseOutcome_RELEASE_OUTCOME_SHED, time.Millisecond
+			}
+			d.pending.Go(func() {
+				time.Sleep(took)
+				g.Release(permit.Observation{Outcome: outcome, FirstByte: took, Total: took})
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		t.Logf("requests by target: %v", counts)
+		is.True(counts["lookup-3"] > 0)
+		is.True(counts["lookup-3"] < 2000/8/4)
+		is.True(math.Abs(float64(counts["lookup-1"]-counts["lookup-2"])) < 100)
+	})
+}
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -46,6 +46,7 @@
 
 	mu      sync.Mutex
 	peers   map[string]*peerState
+	loads   []permit.DomainLoad
 	changed chan struct{}
 	// resumed is closed when a paused host continues; nil means that it is not paused.
 	resumed chan struct{}
@@ -77,6 +78,7 @@
 	h.node = c.Network.Attach(Identity(member))
 	o := permit.Options{
 		Store: c.Store, View: h, Caller: h.node, Registrar: h.node, FailureDomain: c.Domain, LastHeld: h.LastHeld,
+		Loads: func(string) []permit.DomainLoad { return h.getLoads() },
 	}
 	if c.Configure != nil {
 		c.Configure(&o)
@@ -284,6 +286,19 @@
 	return h.changed
 }
 
+// SetLoads sets what the host knows of the services in other failure domains.
+func (h *Host) SetLoads(loads []permit.DomainLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.loads = loads
+}
+
+func (h *Host) getLoads() []permit.DomainLoad {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.loads
+}
+
 // LastHeld returns the permits that a host reported in its last heartbeat.
 func (h *Host) LastHeld(host string) []*peerv1.HeldPermits {
 	h.mu.Lock()
