--- a/pkg/permit/ask.go
+++ b/pkg/permit/ask.go
@@ -82,11 +82,15 @@
 func (m *Manager) askRemote(ctx context.Context, state *clientState, req Request, host membership.Member) offer {
 	offers := make(chan offer, 1)
 	callCtx, cancelCall := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	// A call to a silent host must not hold up the end of this one.
+	stopWatching := context.AfterFunc(m.ctx, cancelCall)
 	spawned := m.spawn(func() {
 		defer cancelCall()
+		defer stopWatching()
 		offers <- m.call(callCtx, state, req, host)
 	})
 	if !spawned {
+		stopWatching()
 		cancelCall()
 		return offer{}
 	}
