--- /dev/null
+++ b/pkg/entry/rule_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/config"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
+)
+
+// ruleStore holds one virtual host with a rule for reads, one for commands and one that is split.
+func ruleStore() *config.Store {
+	rule := func(name, prefix string, repeat configv1.Repeat, destinations ...*configv1.Destination) *configv1.Rule {
+		return &configv1.Rule{
+			Name: name, PathPrefix: prefix, Repeat: repeat, TimeoutMs: 2000, Attempts: 2, LatencyMs: 500,
+			Class: configv1.RequestClass_REQUEST_CLASS_SHORT, Destinations: destinations,
+		}
+	}
+	lookup := &configv1.Destination{Service: "lookup", Weight: 3}
+	other := &configv1.Destination{Service: "other", Weight: 1}
+	store := config.NewStore()
+	store.Set(config.NewSnapshot(1, []*configv1.Object{
+		{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: "lookup", DefaultTimeoutMs: 5000}}},
+		{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: "other", DefaultTimeoutMs: 5000}}},
+		{Kind: &configv1.Object_VirtualHost{VirtualHost: &configv1.VirtualHost{Name: "entry", Rules: []*configv1.Rule{
+			rule("reads", "/r/", configv1.Repeat_REPEAT_IDEMPOTENT, lookup),
+			rule("commands", "/r/c/", configv1.Repeat_REPEAT_AT_MOST_ONCE, lookup),
+			rule("split", "/s/", configv1.Repeat_REPEAT_IDEMPOTENT, lookup, other),
+		}}}},
+	}))
+	return store
+}
+
+func newRuleWorld(t *testing.T, targets int, change func(*Options)) *world {
+	return newWorld(t, targets, func(o *Options) {
+		o.Store = ruleStore()
+		if change != nil {
+			change(o)
+		}
+	})
+}
+
+// Guards against a command of a rule that runs twice because its answer was lost or cut, and against a read that fails although
+// another target can serve it.
+func TestRulesSayWhatMayRunAgain(t *testing.T) {
+	for _, c := range []struct {
+		name, method, url string
+		faults            target.Faults
+		status            int
+		outcome           string
+		executed          [2]int
+	}{
+		{"read, lost answer", "GET", "/r/a", target.Faults{LoseAnswer: true}, 200, "", [2]int{1, 1}},
+		{"read by POST, lost answer", "POST", "/r/a", target.Faults{LoseAnswer: true}, 200, "", [2]int{1, 1}},
+		{"read, cut answer", "GET", "/r/a?size=200000", target.Faults{Truncate: true}, 200, "", [2]int{1, 1}},
+		{"read, shed", "GET", "/r/a", target.Faults{ShedAll: true}, 200, "", [2]int{0, 1}},
+		{"command, lost answer", "POST", "/r/c/a", target.Faults{LoseAnswer: true}, 502, "unknown", [2]int{1, 0}},
+		{"command by GET, lost answer", "GET", "/r/c/a", target.Faults{LoseAnswer: true}, 502, "unknown", [2]int{1, 0}},
+		{"command, cut answer", "POST", "/r/c/a?size=200000", target.Faults{Truncate: true}, 502, "unknown", [2]int{1, 0}},
+		{"command, shed", "POST", "/r/c/a", target.Faults{ShedAll: true}, 200, "", [2]int{0, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newRuleWorld(t, 2, nil)
+				w.targets[0].SetFaults(c.faults)
+				got := w.do(c.method, c.url, "x")
+				is.NoErr(got.err)
+				is.Equal(got.status, c.status)
+				is.Equal(got.header.Get("Rattanhitch-Outcome"), c.outcome)
+				synctest.Wait()
+				is.Equal(w.targets[0].Report().Total, c.executed[0])
+				is.Equal(w.targets[1].Report().Total, c.executed[1])
+				is.Equal(w.permits.open, 0)
+			})
+		})
+	}
+}
+
+// Guards against a request that no rule allows, and against one that is held beyond the time of its rule.
+func TestRulesBoundRequests(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newRuleWorld(t, 1, nil)
+		for _, path := range []string{"/", "/rx", "/x/", "/lookup/a"} {
+			is.Equal(w.do("GET", path, "").status, 404)
+		}
+		w.targets[0].SetFaults(target.Faults{Freeze: true})
+		start := time.Now()
+		got := w.do("GET", "/r/a", "")
+		is.Equal(got.status, 504)
+		is.True(time.Since(start) < 2100*time.Millisecond)
+		synctest.Wait()
+		for _, q := range w.permits.requests {
+			is.Equal(q.Patience, 500*time.Millisecond/patience)
+			is.True(!q.Objective.IsZero())
+		}
+	})
+}
+
+// Guards against a split whose parts get other shares than their weights say.
+func TestSplitByWeight(t *testing.T) {
+	is := is.New(t)
+	counts := map[string]int{}
+	rule, _ := ruleStore().Current().Rule("entry", "/s/x")
+	const draws = 4000
+	for range draws {
+		counts[drawDestination(rule.GetDestinations())]++
+	}
+	is.True(counts["lookup"] > draws*72/100 && counts["lookup"] < draws*78/100)
+	is.Equal(counts["lookup"]+counts["other"], draws)
+}
+
+// elsewhere sends all requests that follow to another failure domain.
+type elsewhere struct{ permit.Acquirer }
+
+func (e elsewhere) Acquire(ctx context.Context, req permit.Request) (*permit.Grant, error) {
+	if req.Follows {
+		return nil, &permit.ElsewhereError{FailureDomain: "d2"}
+	}
+	return e.Acquirer.Acquire(ctx, req)
+}
+
+// transport answers forwarded requests.
+type transport func(*http.Request) (*http.Response, error)
+
+func (f transport) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func (f transport) Transport(peer.Address, peer.SessionClass) http.RoundTripper { return f }
+
+// Guards against a request that is refused because the host that it was sent to is gone, and against one that is sent back and
+// forth.
+func TestElsewhereFallsBackToHome(t *testing.T) {
+	for _, reachable := range []bool{true, false} {
+		bubble.Run(t, func(t *testing.T) {
+			is := is.New(t)
+			forwards := 0
+			w := newRuleWorld(t, 1, func(o *Options) {
+				o.Permits = elsewhere{o.Permits}
+				o.Find = func(domain string, _ []string) (Place, bool) {
+					is.Equal(domain, "d2")
+					return Place{FailureDomain: domain, Host: peer.Address{Host: "h2", Addr: "h2"}}, true
+				}
+				o.Forwarder = transport(func(r *http.Request) (*http.Response, error) {
+					forwards++
+					if !reachable {
+						httptrace.ContextClientTrace(r.Context()).GetConn("h2") // and no GotConn
+						return nil, errors.New("no connection")
+					}
+					is.True(r.Header.Get(headerObjective) != "")
+					resp := &http.Response{
+						StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("there")), ContentLength: 5,
+					}
+					for _, name := range []string{"Rattanhitch-Request-Id", headerIncarnation} {
+						resp.Header.Set(name, r.Header.Get(name))
+					}
+					return resp, nil
+				})
+			})
+			got := w.do("GET", "/r/a", "")
+			is.NoErr(got.err)
+			is.Equal(got.status, 200)
+			is.Equal(string(got.body) == "there", reachable)
+			is.Equal(forwards, 1)
+		})
+	}
+}
