--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -119,6 +119,7 @@
 	tables, readers := map[string]*Table{}, map[string]*reader{}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	var followers []*Follower
 	t.Cleanup(func() { cancel(); running.Wait() })
 	for _, h := range hosts {
 		readers[h] = &reader{feed: f}
@@ -126,6 +127,9 @@
 			Feed: readers[h], View: view{h, members}, Caller: node{n, h}, Registrar: node{n, h},
 		})
 		tables[h] = follower.Add(TableOptions{Name: "t", Wait: 800 * time.Millisecond, Same: equal})
+		followers = append(followers, follower)
+	}
+	for _, follower := range followers { // all handlers are registered
 		running.Go(func() { follower.Run(ctx) })
 	}
 	return tables, readers
