--- a/pkg/membership/hostlist.go
+++ b/pkg/membership/hostlist.go
@@ -13,20 +13,13 @@
 // hostListLoop reads the platform's list seldom and at random times, so that many hosts cost the platform little.
 func (t *Tracker) hostListLoop() {
 	retry := listRetry
-	known := 0 // reads in a row that named no new host
 	for reads := 0; ; reads++ {
 		t.pausePoint()
 		if reads%announceEvery == 0 {
 			t.announce(t.ctx)
 		}
-		fresh, err := t.readHostList()
-		if fresh > 0 {
-			known = 0
-		} else {
-			known++
-		}
-		wait := t.jitter(t.readInterval(known))
-		if err != nil {
+		wait := t.jitter(t.readInterval())
+		if err := t.readHostList(); err != nil {
 			log.Warn().Err(err).Str("step", "read host list").Msg("host list not read")
 			wait = t.jitter(retry)
 			retry = min(2*retry, listInterval)
@@ -43,12 +36,10 @@
 	}
 }
 
-// readInterval returns the mean time until the next read. A young host reads often until the list names no host that it does
-// not know.
-func (t *Tracker) readInterval(known int) time.Duration {
+func (t *Tracker) readInterval() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Since(t.startedAt) < youngTime && known < knownReads {
+	if time.Since(t.startedAt) < youngTime {
 		return youngListInterval
 	}
 	return listInterval
@@ -77,39 +68,23 @@
 	}
 }
 
-// readHostList returns the number of hosts on the list that were not known.
-func (t *Tracker) readHostList() (fresh int, err error) {
+func (t *Tracker) readHostList() error {
 	ctx, cancel := context.WithTimeout(t.ctx, listTimeout)
 	defer cancel()
 	entries, err := t.opts.HostList.Hosts(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := false
 	for _, e := range entries {
-		if e.Host != t.opts.Self.Host && t.records[e.Host] == nil && !t.knowsElsewhere(e.Host) {
-			fresh++
-		}
 		changed = t.takeEntry(e) || changed
 	}
 	if changed {
 		t.publish()
 	}
-	return fresh, nil
-}
-
-// knowsElsewhere reports whether a host of another failure domain is known. t.mu must be held.
-func (t *Tracker) knowsElsewhere(host string) bool {
-	for _, d := range t.domains {
-		for _, m := range d.members {
-			if m.GetHost() == host {
-				return true
-			}
-		}
-	}
-	return false
+	return nil
 }
 
 // takeEntry returns whether the table changed.
