Keep plug-ins in one kind of registry

Platform drivers had a locked map with duplicate check and sorted names; settings sources, configuration sources and dialects wrote it again. All four use internal/registry now, and the own table is registered like any other configuration source. The panic's text names the kind.

--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -1,12 +1,12 @@
 package config
 
 import (
+	"cmp"
 	"context"
-	"slices"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/registry"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/settings"
 )
@@ -23,43 +23,22 @@
 // Opener opens a source while the module config is provisioned: the modules platform, peer and membership can be used.
 type Opener func(app *kernel.App) (Source, error)
 
-var (
-	sourcesMu sync.Mutex
-	sources   = map[string]Opener{}
-)
+var sources = registry.New[Opener]("configuration source")
 
 // RegisterSource adds a source. Call it from init; it panics on a duplicate name.
-func RegisterSource(name string, open Opener) {
-	sourcesMu.Lock()
-	defer sourcesMu.Unlock()
-	if _, ok := sources[name]; ok || name == settings.SourceTable {
-		panic("config: source registered twice: " + name)
-	}
-	sources[name] = open
+func RegisterSource(name string, open Opener) { sources.Register(name, open) }
+
+func init() {
+	// The project's own table is not a Source: the Manager reads it.
+	RegisterSource(settings.SourceTable, func(*kernel.App) (Source, error) { return nil, nil })
 }
 
 // openSource returns nil for the project's own table.
 func openSource(app *kernel.App) (Source, error) {
-	name := app.Settings.ConfigSource
-	if name == "" || name == settings.SourceTable {
-		return nil, nil
-	}
-	sourcesMu.Lock()
-	open, ok := sources[name]
-	sourcesMu.Unlock()
+	name := cmp.Or(app.Settings.ConfigSource, settings.SourceTable)
+	open, ok := sources.Get(name)
 	if !ok {
-		return nil, errors.Newf("--config-source=%s: must be one of %v", name, sourceNames())
+		return nil, errors.Newf("--config-source=%s: must be one of %v", name, sources.Names())
 	}
 	return open(app)
 }
-
-func sourceNames() []string {
-	sourcesMu.Lock()
-	defer sourcesMu.Unlock()
-	names := []string{settings.SourceTable}
-	for name := range sources {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/pkg/entry/dialect/dialect.go
+++ b/pkg/entry/dialect/dialect.go
@@ -4,12 +4,11 @@
 
 import (
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/registry"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 )
 
@@ -66,36 +65,19 @@
 	EndsWithConnection() bool
 }
 
-var (
-	registryMu sync.Mutex
-	registry   = map[string]Dialect{}
-)
+var dialects = registry.New[Dialect]("dialect")
 
 // Register adds a dialect. Call it from init; it panics on a duplicate name.
-func Register(name string, d Dialect) {
-	registryMu.Lock()
-	defer registryMu.Unlock()
-	if _, ok := registry[name]; ok {
-		panic("dialect: registered twice: " + name)
-	}
-	registry[name] = d
-}
+func Register(name string, d Dialect) { dialects.Register(name, d) }
 
 // Get returns a registered dialect, or this project's own for an empty name.
 func Get(name string) (Dialect, error) {
 	if name == "" {
 		return Own{}, nil
 	}
-	registryMu.Lock()
-	defer registryMu.Unlock()
-	d, ok := registry[name]
+	d, ok := dialects.Get(name)
 	if !ok {
-		names := make([]string, 0, len(registry))
-		for n := range registry {
-			names = append(names, n)
-		}
-		slices.Sort(names)
-		return nil, errors.Newf("--dialect=%s: must be empty or one of %v", name, names)
+		return nil, errors.Newf("--dialect=%s: must be empty or one of %v", name, dialects.Names())
 	}
 	return d, nil
 }
--- a/pkg/settings/source.go
+++ b/pkg/settings/source.go
@@ -1,41 +1,28 @@
 package settings
 
 import (
-	"slices"
-	"sync"
-
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/pflag"
+
+	"github.com/rattanhitch/rattanhitch/internal/registry"
 )
 
 // Source returns values of flags, by flag name, from where a deployment keeps its settings.
 type Source func() (map[string]string, error)
 
-var (
-	sourcesMu sync.Mutex
-	sources   = map[string]Source{}
-)
+var sources = registry.New[Source]("settings source")
 
 // RegisterSource adds a source. Call it from init; it panics on a duplicate name.
-func RegisterSource(name string, source Source) {
-	sourcesMu.Lock()
-	defer sourcesMu.Unlock()
-	if _, ok := sources[name]; ok {
-		panic("settings: source registered twice: " + name)
-	}
-	sources[name] = source
-}
+func RegisterSource(name string, source Source) { sources.Register(name, source) }
 
 // ApplySource sets the flags that the named source gives and that are not on the command line. An empty name gives none.
 func ApplySource(name string, fs *pflag.FlagSet) error {
 	if name == "" {
 		return nil
 	}
-	sourcesMu.Lock()
-	source, ok := sources[name]
-	sourcesMu.Unlock()
+	source, ok := sources.Get(name)
 	if !ok {
-		return errors.Newf("--settings-source=%s: must be one of %v", name, sourceNames())
+		return errors.Newf("--settings-source=%s: must be one of %v", name, sources.Names())
 	}
 	values, err := source()
 	if err != nil {
@@ -55,14 +42,3 @@
 	}
 	return errors.Join(problems...)
 }
-
-func sourceNames() []string {
-	sourcesMu.Lock()
-	defer sourcesMu.Unlock()
-	names := make([]string, 0, len(sources))
-	for name := range sources {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/pkg/store/platform.go
+++ b/pkg/store/platform.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanhitch/rattanhitch/internal/registry"
 )
 
 var (
@@ -117,26 +117,14 @@
 // Opener connects a driver to the platform at a URL.
 type Opener func(url string) (Platform, error)
 
-var (
-	driversMu sync.Mutex
-	drivers   = map[string]Opener{}
-)
+var drivers = registry.New[Opener]("platform driver")
 
 // RegisterDriver adds a driver. Call it from init; it panics on a duplicate name.
-func RegisterDriver(name string, open Opener) {
-	driversMu.Lock()
-	defer driversMu.Unlock()
-	if _, ok := drivers[name]; ok {
-		panic("platform: driver registered twice: " + name)
-	}
-	drivers[name] = open
-}
+func RegisterDriver(name string, open Opener) { drivers.Register(name, open) }
 
 // Open connects to the platform with a registered driver.
 func Open(name, url string) (Platform, error) {
-	driversMu.Lock()
-	open, ok := drivers[name]
-	driversMu.Unlock()
+	open, ok := drivers.Get(name)
 	if !ok {
 		return nil, errors.Newf("platform driver %q is not one of %v", name, Drivers())
 	}
@@ -144,13 +132,4 @@
 }
 
 // Drivers returns the names of the registered drivers, sorted.
-func Drivers() []string {
-	driversMu.Lock()
-	defer driversMu.Unlock()
-	names := make([]string, 0, len(drivers))
-	for name := range drivers {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func Drivers() []string { return drivers.Names() }
