--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -1,10 +1,9 @@
 package lookup
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 
+	"github.com/rattanhitch/rattanhitch/internal/shuffle"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 )
 
@@ -35,24 +34,6 @@
 			break
 		}
 	}
-	return sample(list, limit)
-}
-
-// sample returns at most limit members in random order; members with more processor time are more likely to be among them,
-// so that callers are spread by it.
-func sample(members []membership.Member, limit int) []membership.Member {
-	type drawn struct {
-		membership.Member
-		key float64
-	}
-	list := make([]drawn, len(members))
-	for i, m := range members {
-		list[i] = drawn{m, rand.ExpFloat64() / float64(max(m.Capacity, 1))}
-	}
-	slices.SortFunc(list, func(a, b drawn) int { return cmp.Compare(a.key, b.key) })
-	chosen := make([]membership.Member, 0, min(limit, len(list)))
-	for _, d := range list[:min(limit, len(list))] {
-		chosen = append(chosen, d.Member)
-	}
-	return chosen
+	capacity := func(m membership.Member) float64 { return float64(max(m.Capacity, 1)) }
+	return shuffle.Weighted(list, capacity, rand.ExpFloat64)[:min(limit, len(list))]
 }
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -3,11 +3,11 @@
 package steering
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/internal/shuffle"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
@@ -150,22 +150,8 @@
 // byFreeSlots orders candidates at random with a weight of their free slots. Reports lag, so sending all overflow to the
 // one with the most free slots would overrun it until the next report.
 func byFreeSlots(headroom *planHeadroom, candidates []Candidate, rnd *rand.Rand) []Candidate {
-	type keyed struct {
-		Candidate
-		key float64
-	}
-	list := make([]keyed, len(candidates))
-	for i, c := range candidates {
-		// The smallest of exponential draws with rate w picks an element with a probability proportional to its weight w.
-		weight := float64(headroom.freeSlots(c.FailureDomain)) + minWeight
-		list[i] = keyed{c, rnd.ExpFloat64() / weight}
-	}
-	slices.SortFunc(list, func(a, b keyed) int { return cmp.Compare(a.key, b.key) })
-	ordered := make([]Candidate, len(list))
-	for i, k := range list {
-		ordered[i] = k.Candidate
-	}
-	return ordered
+	weight := func(c Candidate) float64 { return float64(headroom.freeSlots(c.FailureDomain)) + minWeight }
+	return shuffle.Weighted(candidates, weight, rnd.ExpFloat64)
 }
 
 func (p *planHeadroom) freeSlots(failureDomain string) int {
