--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,8 +36,6 @@
 	// Slots is what its targets have, Demand what its callers ask for, in slots.
 	Slots  float64
 	Demand float64
-	// Known is false if it has hosts but has not reported its load.
-	Known bool
 }
 
 // balance decides where the requests of one service go. The dispatcher's goroutine uses it.
@@ -61,7 +60,7 @@
 	bias float64
 }
 
-// update moves the shares towards equal load. It returns when it has nothing to do yet.
+// update moves the shares towards equal load, at most once in balanceInterval.
 func (b *balance) update(d *dispatcher, now time.Time) {
 	if now.Sub(b.updatedAt) < balanceInterval {
 		return
@@ -90,7 +89,7 @@
 // the same.
 func (b *balance) wanted(d *dispatcher) []share {
 	_, slots := d.slots.totals()
-	loads := []DomainLoad{{Domain: b.own, Region: b.region, Slots: float64(slots), Demand: b.demand(d), Known: true}}
+	loads := []DomainLoad{{Domain: b.own, Region: b.region, Slots: float64(slots), Demand: b.demand(d)}}
 	if d.manager.opts.Loads != nil {
 		loads = append(loads, d.shardLoads()...)
 	}
@@ -99,15 +98,7 @@
 
 // equalLoad returns the shares of the requests of one failure domain.
 func equalLoad(own string, loads []DomainLoad) []share {
-	slices.SortFunc(loads, func(a, b DomainLoad) int {
-		switch {
-		case a.Domain < b.Domain:
-			return -1
-		case a.Domain > b.Domain:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(loads, func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
 	var slots, demand float64
 	for _, l := range loads {
 		slots += l.Slots
--- a/pkg/permit/balance_test.go
+++ b/pkg/permit/balance_test.go
@@ -17,7 +17,7 @@
 func TestRegionsAreEquallyLoaded(t *testing.T) {
 	is := is.New(t)
 	load := func(domain string, slots, demand float64) DomainLoad {
-		return DomainLoad{Domain: domain, Slots: slots, Demand: demand, Known: true}
+		return DomainLoad{Domain: domain, Slots: slots, Demand: demand}
 	}
 	small := equalLoad("a", []DomainLoad{load("a", 10, 30), load("b", 40, 30), load("c", 40, 30)})
 	is.True(near(part(small, "a"), 1.0/3)) // 10 of its 30, as the others have 40 for 40
--- a/pkg/permit/cold.go
+++ b/pkg/permit/cold.go
@@ -25,7 +25,6 @@
 		t.quality.down = false
 	}
 	t.configured = c
-	t.place = c.GetPlace()
 	t.nameHash = xxhash.Sum64String(c.GetName())
 	t.coldUntil = time.Time{}
 	if cold := time.Duration(c.GetColdMs()) * time.Millisecond; cold > 0 {
--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -67,7 +67,6 @@
 			if ServiceOf(h.GetService()) == service {
 				load.Slots += float64(h.GetTotalSlots())
 				load.Demand += float64(h.GetDemandSlots())
-				load.Known = true
 			}
 		}
 		list = append(list, load)
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -76,8 +76,6 @@
 	switch {
 	case w.isLate:
 		w.giveUpAt = now.Add(patience)
-	case wait > patience && free <= slots/reserveShare:
-		w.giveUpAt = now.Add(patience) // nothing is left over if the slot comes too late
 	case wait > 0 && free > slots/reserveShare:
 		w.awaits = best
 		w.giveUpAt = now.Add(min(wait+slack, 2*wait+patience))
@@ -166,7 +164,9 @@
 	}
 	kept := d.objectives[:0]
 	for _, w := range d.objectives {
-		switch t, ended := d.placeOne(w, now), d.hasWaited(w, now); {
+		free, total := d.slots.totals()
+		ended := w.hasWaited(free, total, now)
+		switch t := d.placeOne(w, free, total, ended, now); {
 		case t != nil:
 			w.stopAwaiting()
 			d.grant(w, t, now)
@@ -183,19 +183,14 @@
 }
 
 // hasWaited reports whether a request's wait is over: beyond its patience it waits only while slots are left over elsewhere.
-func (d *dispatcher) hasWaited(w *waiter, now time.Time) bool {
-	free, total := d.slots.totals()
+func (w *waiter) hasWaited(free, total int, now time.Time) bool {
 	return !now.Before(w.giveUpAt) || !now.Before(w.patientUntil) && free <= total/reserveShare
 }
 
 // placeOne returns the target that a request gets now, or nil. A request that will be late takes a slot only if slots
-// are left over, and one that could still be in time elsewhere only when its patience has ended.
-func (d *dispatcher) placeOne(w *waiter, now time.Time) *target {
-	if !d.active || !d.followers[w.from.host].answers(w.from) {
-		return nil
-	}
-	free, total := d.slots.totals()
-	if free == 0 {
+// are left over, and one that could still be in time elsewhere only when its wait has ended.
+func (d *dispatcher) placeOne(w *waiter, free, total int, ended bool, now time.Time) *target {
+	if free == 0 || !d.active || !d.followers[w.from.host].answers(w.from) {
 		return nil
 	}
 	t, expected := d.bestTarget(w, now)
@@ -207,7 +202,6 @@
 	if d.urgency.yields(w.req.Priority, now) {
 		reserve += 1 + total/reserveShare
 	}
-	ended := d.hasWaited(w, now)
 	if w.awaits != nil && !ended && !d.remembers(t, w.req.Object) {
 		return nil // the target that it waits for is worth the wait
 	}
--- a/pkg/permit/objective_test.go
+++ b/pkg/permit/objective_test.go
@@ -170,7 +170,7 @@
 		}}})
 	run(t, 4, 2, objects, func(d *domain, is *is.I) {
 		for _, h := range d.Hosts() {
-			h.SetLoads([]permit.DomainLoad{{Domain: "d2", Region: "r2", Slots: 8, Known: true}})
+			h.SetLoads([]permit.DomainLoad{{Domain: "d2", Region: "r2", Slots: 8}})
 		}
 		time.Sleep(time.Second)
 		req := d.request("lookup", time.Second)
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -28,7 +28,6 @@
 	closed bool
 	// configured is what the configuration said last.
 	configured *configv1.Target
-	place      string
 	nameHash   uint64
 	// recent holds the objects that the target served lately.
 	recent recency
