--- a/pkg/entry/placed.go
+++ b/pkg/entry/placed.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 )
 
 // dispatcherPatience is the part of a request's objective, as 1/n, for which its host waits for an answer of the dispatcher.
-// The dispatcher itself keeps a request waiting for less.
+// The dispatcher itself keeps a request waiting for less, unless a full target that remembers the object is worth the wait.
 const dispatcherPatience = 4
 
 // acquireContext limits the wait for a permit of a request with an objective: a dispatcher that is lost is replaced within
@@ -48,12 +49,7 @@
 // mayServeHere reports whether the rule allows the request to be served in this region.
 func (h *Handler) mayServeHere(rq *request) bool {
 	homes := rq.rule.GetHomeRegions()
-	for _, region := range homes {
-		if region == h.opts.Self.Region {
-			return true
-		}
-	}
-	return len(homes) == 0
+	return len(homes) == 0 || slices.Contains(homes, h.opts.Self.Region)
 }
 
 // elsewhere forwards the request to a host of a failure domain, or of any other one that may serve it if the name is empty.
