Read what a target says once for each response, and end unused responses in one function

The check whose request a response answers parsed all headers from a made-up response, and accept parsed them again. The client now hands over the response, and the report stays with the attempt.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -21,8 +21,8 @@
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// maxShedBytes is the longest body of a refusal that is read to keep the connection.
-const maxShedBytes = 4 << 10
+// maxDiscardBytes is the longest body that is read only to keep the connection.
+const maxDiscardBytes = 4 << 10
 
 var (
 	errHedgeLost = errors.New("the other attempt answered first")
@@ -46,8 +46,8 @@
 	released  atomic.Bool
 	firstByte time.Duration
 	bytes     uint64
-	// slowdown is what the target said of its own speed, in percent; 0 if unknown.
-	slowdown int
+	// report is what the target said beside its response.
+	report dialect.Report
 	// returned is set once the permit was given back; that can be before the attempt is finished.
 	returned bool
 }
@@ -110,7 +110,7 @@
 	}
 	a.returned = true
 	a.grant.Release(permit.Observation{
-		Outcome: outcome, FirstByte: a.firstByte, Total: time.Since(a.sent), Bytes: a.bytes, SlowdownPercent: a.slowdown,
+		Outcome: outcome, FirstByte: a.firstByte, Total: time.Since(a.sent), Bytes: a.bytes, SlowdownPercent: a.report.SlowdownPercent,
 	})
 }
 
@@ -144,7 +144,7 @@
 	}
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
 		Address: a.grant.Address, Fresh: rq.command && rq.rule == nil,
-		SkipLate: h.opts.Dialect.RepeatsLate(), Belongs: func(header http.Header) bool { return h.answers(a, header) },
+		SkipLate: h.opts.Dialect.RepeatsLate(), Belongs: func(resp *http.Response) bool { return h.answers(a, resp) },
 	})
 	a.firstByte = time.Since(a.sent)
 	a.dialling.Store(true)
@@ -227,21 +227,20 @@
 	return f
 }
 
-// answers reports whether a response with this header belongs to an attempt. A target that does not repeat IDs is trusted.
-func (h *Handler) answers(a *attempt, header http.Header) bool {
-	report := h.opts.Dialect.ReadResponse(&http.Response{Header: header})
-	return report.ID == "" || report.ID == a.wireID
+// answers reads what a target says and reports whether its response belongs to an attempt. A target that does not repeat IDs
+// is trusted.
+func (h *Handler) answers(a *attempt, resp *http.Response) bool {
+	a.report = h.opts.Dialect.ReadResponse(resp)
+	return a.report.ID == "" || a.report.ID == a.wireID
 }
 
 // accept checks a target's response.
 func (h *Handler) accept(rq *request, a *attempt, resp *http.Response) (*answer, *failure) {
-	report := h.opts.Dialect.ReadResponse(resp)
-	a.slowdown = report.SlowdownPercent
 	if !framed(resp) && !(h.opts.Dialect.EndsWithConnection() && resp.StatusCode != http.StatusSwitchingProtocols) {
 		return nil, h.reject(a, resp, "the end of the response cannot be detected")
 	}
-	if report.NotRun {
-		return nil, h.shed(a, resp, report)
+	if a.report.NotRun {
+		return nil, h.shed(a, resp)
 	}
 	if resp.StatusCode == http.StatusInternalServerError && h.triesAgain(rq) {
 		return nil, h.failedByTarget(a, resp)
@@ -256,8 +255,7 @@
 
 // failedByTarget finishes an attempt that the target ran and failed.
 func (h *Handler) failedByTarget(a *attempt, resp *http.Response) *failure {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxShedBytes)
-	_ = resp.Body.Close()
+	discard(resp)
 	a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
 	return &failure{
 		status: http.StatusBadGateway, reason: reply.ReasonTargetFailed, mayHaveRun: true, next: nextTarget,
@@ -266,21 +264,25 @@
 }
 
 // shed finishes an attempt that the target did not run.
-func (h *Handler) shed(a *attempt, resp *http.Response, report dialect.Report) *failure {
+func (h *Handler) shed(a *attempt, resp *http.Response) *failure {
 	f := &failure{
-		status: http.StatusServiceUnavailable, reason: reply.ReasonTargetShed, retryAfter: report.RetryAfter, next: nextTarget,
+		status: http.StatusServiceUnavailable, reason: reply.ReasonTargetShed, retryAfter: a.report.RetryAfter, next: nextTarget,
 	}
 	outcome := peerv1.ReleaseOutcome_RELEASE_OUTCOME_SHED
-	if report.Gone {
+	if a.report.Gone {
 		f.reason, outcome = reply.ReasonTargetUnreachable, peerv1.ReleaseOutcome_RELEASE_OUTCOME_UNREACHABLE
 	}
-	// A short body is read, so that the connection can be used again.
-	_, _ = io.CopyN(io.Discard, resp.Body, maxShedBytes)
-	_ = resp.Body.Close()
+	discard(resp)
 	a.finish(outcome)
 	return f
 }
 
+// discard ends a response that is not passed on. A short body is read, so that the connection can be used again.
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+	_ = resp.Body.Close()
+}
+
 // reject finishes an attempt whose response cannot be passed on, and closes its connection.
 func (h *Handler) reject(a *attempt, resp *http.Response, why string) *failure {
 	a.cancel(nil)
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -11,7 +11,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// Lines about requests in one second and host. A line has about 500 bytes, so a host writes at most 40 kB a second.
+// Lines about requests in one second and host. A line has 570 bytes on average, so a host writes about 45 kB a second at most.
 const (
 	failuresPerSecond  = 60
 	successesPerSecond = 20
@@ -40,7 +40,7 @@
 
 // begin returns the line of a request that ends with a status, or nil if it is left out.
 func (l requestLog) begin(rq *request, status int, failed bool) *log.Entry {
-	kind, level := l.successes, log.DefaultLogger.Info
+	kind := l.successes
 	if failed {
 		kind = l.failures
 	}
@@ -48,7 +48,7 @@
 	if !ok {
 		return nil
 	}
-	line := level()
+	line := log.Info()
 	if line == nil {
 		return nil
 	}
@@ -113,8 +113,8 @@
 		return
 	}
 	line = line.Int64("first_byte_ms", ans.firstByte.Milliseconds()).Str("bytes", strconv.FormatUint(ans.bytes, 10))
-	if ans.slowdown > 0 {
-		line = line.Int("target_slowdown_percent", ans.slowdown)
+	if percent := ans.report.SlowdownPercent; percent > 0 {
+		line = line.Int("target_slowdown_percent", percent)
 	}
 	if cause != nil {
 		line.Str("cause", cause.Error()).Msg("broke off")
