Let a new dispatcher move its shares between regions at once

The logs of seconds 32 to 36 show 968 refusals as full, 818 of them by the dispatchers of cairo with 0 or 1 of 9, 8 and 3 slots free: a new dispatcher hears of the other regions after its first requests, and then moved 7% of them in 2 s. Its own demand counted as zero until the first request had ended, so it sent nothing elsewhere for that long. Change: for 2 s after its start a dispatcher sets the shares without the limit; its own unknown demand is taken as the mean of the others; the first observations of the rate count equally. Test: TestNewDispatcherMovesSharesAtOnce fails without.

--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -22,6 +22,9 @@
 	balanceInterval = 100 * time.Millisecond
 	// demandWeight is the weight of the last balanceInterval in the rate of arrivals.
 	demandWeight = 0.1
+	// startTime is how long a new dispatcher changes its shares without a limit: it does not know which shares its predecessor
+	// had reached, and it hears of the other failure domains one after the other, a summary a second.
+	startTime = 2 * time.Second
 	// maxDrift is by how many requests the shares may be off before requests go against their hash.
 	maxDrift = 6.0
 	// spanGain is how much of a failure domain's span of hashes changes for each request that it got too few: some objects
@@ -46,6 +49,9 @@
 	// rate is the arrivals per second of callers of this failure domain.
 	rate      float64
 	updatedAt time.Time
+	startedAt time.Time
+	// updates counts the observations of rate.
+	updates int
 	// shares holds the share of requests that goes to each failure domain, the own one included, in order of names.
 	shares []share
 }
@@ -68,20 +74,27 @@
 	elapsed := now.Sub(b.updatedAt)
 	first := b.updatedAt.IsZero()
 	b.updatedAt = now
-	if !first {
-		rate := float64(b.arrived) / elapsed.Seconds()
-		b.rate += min(1, demandWeight*float64(elapsed)/float64(balanceInterval)) * (rate - b.rate)
+	if first {
+		b.startedAt = now
+	} else {
+		b.observeRate(elapsed)
 	}
 	b.arrived = 0
 	wanted := b.wanted(d)
-	if first || b.rate == 0 {
-		b.shares = wanted // no request can change its place
-		return
-	}
 	most := d.manager.opts.ShiftShare * float64(elapsed) / float64(d.manager.opts.ShiftWindow)
+	if b.rate == 0 || now.Sub(b.startedAt) < startTime {
+		most = 1 // no request can change its place, or nothing is known of the places before
+	}
 	b.shares = approach(b.shares, wanted, most)
 }
 
+// observeRate takes the arrivals since the last update into the rate. The first observations count equally.
+func (b *balance) observeRate(elapsed time.Duration) {
+	b.updates++
+	weight := max(demandWeight*float64(elapsed)/float64(balanceInterval), 1/float64(b.updates))
+	b.rate += min(1, weight) * (float64(b.arrived)/elapsed.Seconds() - b.rate)
+}
+
 // demand returns the work that callers ask for, in slots.
 func (b *balance) demand(d *dispatcher) float64 { return b.rate * d.meanHold[classShort].Seconds() }
 
@@ -93,9 +106,25 @@
 	if d.manager.opts.Loads != nil {
 		loads = append(loads, d.shardLoads()...)
 	}
+	if loads[0].Demand == 0 {
+		loads[0].Demand = meanDemand(loads[1:])
+	}
 	return equalLoad(b.own, loads)
 }
 
+// meanDemand returns the mean demand of the failure domains that report one, or 0. A dispatcher that has just started knows
+// the demand of its own callers last, because no request has ended yet.
+func meanDemand(loads []DomainLoad) float64 {
+	sum, count := 0.0, 0
+	for _, l := range loads {
+		if l.Demand > 0 {
+			sum += l.Demand
+			count++
+		}
+	}
+	return sum / float64(max(1, count))
+}
+
 // equalLoad returns the shares of the requests of one failure domain.
 func equalLoad(own string, loads []DomainLoad) []share {
 	slices.SortFunc(loads, func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
--- a/pkg/permit/balance_test.go
+++ b/pkg/permit/balance_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/pkg/config"
 )
 
 func part(shares []share, domain string) float64 { return partOf(shares, domain).part }
@@ -58,6 +61,40 @@
 	is.True(near(part(gone, "a")+part(gone, "b"), 1)) // a domain that is gone gets nothing at once
 }
 
+// Guards against a dispatcher that keeps to its few own slots for a long time after it took over, because it hears of the other
+// failure domains after its first requests: it may then move them at once, and slowly only afterwards.
+func TestNewDispatcherMovesSharesAtOnce(t *testing.T) {
+	is := is.New(t)
+	var others []DomainLoad
+	m := &Manager{opts: Options{ShiftShare: 0.05, ShiftWindow: 2 * time.Second, Loads: func(string) []DomainLoad { return others }}}
+	d := &dispatcher{manager: m, service: "s", slots: newSlotTable(), snap: &config.Snapshot{}}
+	own := d.slots.target("t")
+	own.slots, own.closed = 9, false
+	b := &balance{own: "a"}
+	now := time.Now()
+	step := func(arrivals int) {
+		now = now.Add(balanceInterval)
+		b.arrived = arrivals
+		b.update(d, now)
+	}
+	step(0)
+	step(20)
+	is.True(near(part(b.shares, "a"), 1)) // alone
+	others = []DomainLoad{{Domain: "b", Slots: 91, Demand: 50}}
+	step(20)
+	is.True(part(b.shares, "a") < 0.25) // 9 of 100 slots, and a demand that is taken to be that of b
+	d.meanHold[classShort] = 250 * time.Millisecond
+	step(20)
+	is.True(part(b.shares, "a") < 0.25)
+	for now.Sub(b.startedAt) < startTime {
+		step(20)
+	}
+	before := part(b.shares, "a")
+	others = []DomainLoad{{Domain: "b", Slots: 10, Demand: 50}}
+	step(20)
+	is.True(part(b.shares, "a")-before < 0.0026) // a twentieth in 2 s
+}
+
 // Guards against objects that wander between regions, and against shares that do not hold within a few requests because few
 // objects are popular.
 func TestObjectsStayInTheirRegion(t *testing.T) {
