Move shares between regions at once when slots are lost

Change: when a region loses a quarter of its slots or more, the dispatchers change their shares without the limit for 2 s. The limit protects caches and holds for changes of traffic; slots that come back are taken into use slowly, as before.

--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -22,9 +22,13 @@
 	balanceInterval = 100 * time.Millisecond
 	// demandWeight is the weight of the last balanceInterval in the rate of arrivals.
 	demandWeight = 0.1
-	// startTime is how long a new dispatcher changes its shares without a limit: it does not know which shares its predecessor
-	// had reached, and it hears of the other failure domains one after the other, a summary a second.
-	startTime = 2 * time.Second
+	// freeTime is how long a dispatcher changes its shares without a limit after its start or a loss of slots. It does not know
+	// which shares its predecessor had reached, and it hears of the other failure domains one after the other, a summary a
+	// second.
+	freeTime = 2 * time.Second
+	// lossShare is the part of its slots that a failure domain must keep for the limit to hold: what a zone takes with it when
+	// it is lost or evacuated must be served elsewhere at once, or it is refused.
+	lossShare = 0.75
 	// maxDrift is by how many requests the shares may be off before requests go against their hash.
 	maxDrift = 6.0
 	// spanGain is how much of a failure domain's span of hashes changes for each request that it got too few: some objects
@@ -49,7 +53,10 @@
 	// rate is the arrivals per second of callers of this failure domain.
 	rate      float64
 	updatedAt time.Time
-	startedAt time.Time
+	// freeUntil is until when the shares change without a limit.
+	freeUntil time.Time
+	// slots is the most that each failure domain had since its last loss.
+	slots map[string]float64
 	// updates counts the observations of rate.
 	updates int
 	// shares holds the share of requests that goes to each failure domain, the own one included, in order of names.
@@ -75,15 +82,19 @@
 	first := b.updatedAt.IsZero()
 	b.updatedAt = now
 	if first {
-		b.startedAt = now
+		b.freeUntil = now.Add(freeTime)
 	} else {
 		b.observeRate(elapsed)
 	}
 	b.arrived = 0
-	wanted := b.wanted(d)
+	loads := b.loads(d)
+	if b.noteLoss(loads) {
+		b.freeUntil = now.Add(freeTime)
+	}
+	wanted := equalLoad(b.own, loads)
 	most := d.manager.opts.ShiftShare * float64(elapsed) / float64(d.manager.opts.ShiftWindow)
-	if b.rate == 0 || now.Sub(b.startedAt) < startTime {
-		most = 1 // no request can change its place, or nothing is known of the places before
+	if b.rate == 0 || now.Before(b.freeUntil) {
+		most = 1
 	}
 	b.shares = approach(b.shares, wanted, most)
 }
@@ -98,9 +109,23 @@
 // demand returns the work that callers ask for, in slots.
 func (b *balance) demand(d *dispatcher) float64 { return b.rate * d.meanHold[classShort].Seconds() }
 
-// wanted returns the shares at which all failure domains are equally loaded. Until the demand is known, all are taken to have
-// the same.
-func (b *balance) wanted(d *dispatcher) []share {
+// noteLoss reports whether a failure domain has lost a large part of its slots.
+func (b *balance) noteLoss(loads []DomainLoad) bool {
+	lost := false
+	most := make(map[string]float64, len(loads))
+	for _, l := range loads {
+		most[l.Domain] = max(l.Slots, b.slots[l.Domain])
+		if l.Slots < lossShare*most[l.Domain] {
+			most[l.Domain] = l.Slots
+			lost = true
+		}
+	}
+	b.slots = most
+	return lost
+}
+
+// loads returns what is known of all failure domains. Until the demand is known, all are taken to have the same.
+func (b *balance) loads(d *dispatcher) []DomainLoad {
 	_, slots := d.slots.totals()
 	loads := []DomainLoad{{Domain: b.own, Region: b.region, Slots: float64(slots), Demand: b.demand(d)}}
 	if d.manager.opts.Loads != nil {
@@ -109,7 +134,7 @@
 	if loads[0].Demand == 0 {
 		loads[0].Demand = meanDemand(loads[1:])
 	}
-	return equalLoad(b.own, loads)
+	return loads
 }
 
 // meanDemand returns the mean demand of the failure domains that report one, or 0. A dispatcher that has just started knows
