End suspicions of hosts that are no longer watched

The suspicion arose while x-2 was cut off, its news was lost, and the ring changed. A suspicion is left out of the digest of the members, so no comparison showed it, and x-0, which refutes what it hears, heard nothing. Change: a host calls suspects that it does not watch, and its heartbeats say what it holds of their receiver.

--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -45,6 +45,7 @@
 			t.probe(r)
 		}
 	}
+	t.askSuspects()
 	changed = t.checkDomains(now) || changed
 	for host, r := range t.records {
 		if r.State == StateDead && now.Sub(r.diedAt) > t.opts.ForgetAfter {
@@ -58,6 +59,16 @@
 	}
 }
 
+// askSuspects calls the suspect hosts that this host no longer watches: no heartbeat of theirs ends the suspicion, and if the news
+// of it was lost they have not refuted it.
+func (t *Tracker) askSuspects() {
+	for _, r := range t.records {
+		if r.State == StateSuspect && !r.watched && r.FailureDomain == t.opts.Self.FailureDomain {
+			t.probe(r)
+		}
+	}
+}
+
 // allowForPause counts the time in which this host was paused for nobody.
 func (t *Tracker) allowForPause(now time.Time) {
 	gap := now.Sub(t.lastSweep)
@@ -191,6 +202,9 @@
 		h.Members = t.fullList(r, now)
 		r.wantsFull = false
 	}
+	if r != nil && r.State == StateSuspect {
+		h.Members = append(h.Members, r.encode(now)) // the receiver refutes it
+	}
 	return h
 }
 
