Limit retries of a service, not of each of its dispatchers

Cause, found by reading: each dispatcher saved up the whole burst of retries. A service of the grown deployments has four in each region, and each successor started with everything saved, so the deployment's limit could be passed several times over. A request that was sent to another region paid for retries in both. Change: shards share the burst, a successor starts with nothing saved, and a request pays where it is served. Sums of shares are compared with a tolerance: ten tenths did not pay for one retry. Tests: TestShardsShareTheSavedRetries, TestSuccessorStartsWithoutSavedRetries, TestRequestSentElsewhereEarnsNoRetry.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -21,6 +21,7 @@
 		w.result <- answer{refusal: r}
 		return
 	}
+	d.earnRetries(w)
 	d.sequence++
 	w.sequence = d.sequence
 	d.queues[queueOf(w.class, w.req.Forwarded)].push(w)
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -185,7 +185,7 @@
 func (s *clientState) nextTerm() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.seen.term, s.fence.term) + 1
+	return max(s.seen.term, s.fence.term, firstTerm-1) + 1
 }
 
 // ask asks one host. answered is false if another host must be asked.
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -88,7 +88,8 @@
 		manager: m, id: id, service: service,
 		stop: make(chan struct{}), done: make(chan struct{}), events: make(chan event, eventBuffer),
 		slots: newSlotTable(), latency: newLatency(), hedges: budget{burst: hedgeBurst},
-		retries: budget{tokens: m.opts.RetryBurst, burst: m.opts.RetryBurst}, poison: newPoison(), classes: classifier{routes: map[string]*routeStats{}}, followers: map[string]*follower{}, released: map[permitKey]bool{},
+		retries: newRetries(id, m.opts.RetryBurst), poison: newPoison(), classes: classifier{routes: map[string]*routeStats{}},
+		followers: map[string]*follower{}, released: map[permitKey]bool{},
 		urgency: urgency{refusedAt: map[uint32]time.Time{}}, work: map[string]*work{}, memory: newMemory(),
 		balance: balance{own: m.opts.FailureDomain, region: m.self.Region},
 	}
@@ -184,6 +185,7 @@
 	}
 	d.snap = snap
 	d.hedgeShare = d.hedgePercent() / 100
+	d.shareRetries()
 	d.rampEnd = d.slots.configure(snap, d.service, d.manager.opts.FailureDomain, now)
 	if _, total := d.slots.totals(); total == 0 {
 		d.refuseAll(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter)
--- a/pkg/permit/hedge.go
+++ b/pkg/permit/hedge.go
@@ -19,14 +19,17 @@
 	burst  float64
 }
 
+// roundingError is more than the sum of ten shares of a tenth differs from one.
+const roundingError = 1e-9
+
 func (b *budget) earn(tokens float64) { b.tokens = min(b.burst, b.tokens+tokens) }
 
 // spend reports whether an extra request is paid for.
 func (b *budget) spend() bool {
-	if b.tokens < 1 {
+	if b.tokens < 1-roundingError {
 		return false
 	}
-	b.tokens--
+	b.tokens = max(0, b.tokens-1)
 	return true
 }
 
--- a/pkg/permit/ident.go
+++ b/pkg/permit/ident.go
@@ -13,6 +13,9 @@
 	term        uint64
 }
 
+// firstTerm is the term of a dispatcher without a known predecessor.
+const firstTerm = 1
+
 func identOf(d *peerv1.DispatcherID) ident {
 	return ident{host: d.GetHost(), incarnation: d.GetIncarnation(), term: d.GetTerm()}
 }
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -40,6 +40,7 @@
 		w.result <- answer{elsewhere: domain}
 		return
 	}
+	d.earnRetries(w)
 	if !d.anyUsable(w, now) {
 		w.result <- d.refused(w, refuse(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter), now)
 		return
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -13,12 +13,6 @@
 	strikeTime = 10 * time.Minute
 	// maxFingerprints bounds the fingerprints that are remembered of each kind.
 	maxFingerprints = 4096
-	// defaultRetryShare is the number of retries that one first attempt pays for.
-	defaultRetryShare = 0.1
-	// defaultRetryBurst is how many retries can be saved up.
-	defaultRetryBurst = 20
-	// retryBudgetRetryAfter is the hint when the retry budget is spent.
-	retryBudgetRetryAfter = time.Second
 )
 
 // strike is a connection that a fingerprint's request lost at a target.
@@ -118,23 +112,6 @@
 	return t.suspects == 0 || !d.poison.isSuspect(w.req.Fingerprint, now)
 }
 
-// admitAttempt returns why a poison request or a retry is refused, or nil.
-func (d *dispatcher) admitAttempt(w *waiter, now time.Time) *RefusedError {
-	if left := d.poison.refused.left(w.req.Fingerprint, now); left > 0 {
-		return refuse(peerv1.RefusalReason_REFUSAL_REASON_POISON, left)
-	}
-	if w.req.Attempt == 0 {
-		if !w.req.Hedge {
-			d.retries.earn(d.manager.opts.RetryShare)
-		}
-		return nil
-	}
-	if !d.retries.spend() {
-		return refuse(peerv1.RefusalReason_REFUSAL_REASON_RETRY_BUDGET, retryBudgetRetryAfter)
-	}
-	return nil
-}
-
 // rememberPoison refuses a fingerprint on this host without asking the dispatcher.
 func (s *clientState) rememberPoison(fingerprint uint64, left time.Duration) {
 	s.mu.Lock()
--- /dev/null
+++ b/pkg/permit/retry_test.go
@@ -0,0 +1,70 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/pkg/config"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+)
+
+// retrier returns a dispatcher of a service with a number of targets, of which 40 retries can be saved up.
+func retrier(targets int, term uint64) *dispatcher {
+	m := &Manager{opts: Options{RetryShare: 0.2, RetryBurst: 40, FailureDomain: "d", ShiftShare: 0.1, ShiftWindow: time.Second}}
+	d := newDispatcher(m, "s", ident{term: term})
+	d.snap = snapshotOf(targets)
+	d.shareRetries()
+	return d
+}
+
+// retriesAdmitted returns how many retries are admitted one after the other.
+func (d *dispatcher) retriesAdmitted() int {
+	count := 0
+	for d.admitAttempt(&waiter{req: Request{Attempt: 1}}, time.Now()) == nil {
+		count++
+	}
+	return count
+}
+
+// Guards against retries that multiply with the dispatchers: a service of many targets has several in each failure domain, and
+// each one saved up as much as a single one may.
+func TestShardsShareTheSavedRetries(t *testing.T) {
+	is := is.New(t)
+	is.Equal(retrier(1, firstTerm).retriesAdmitted(), 40)
+	is.Equal(retrier(4*shardTargets, firstTerm).retriesAdmitted(), 10)
+}
+
+// Guards against a change of the dispatcher that pays for the same retries again: when all hosts restart in turn, each successor
+// started with everything saved up.
+func TestSuccessorStartsWithoutSavedRetries(t *testing.T) {
+	is := is.New(t)
+	d := retrier(1, firstTerm+1)
+	is.Equal(d.retriesAdmitted(), 0)
+	for range 10 {
+		d.earnRetries(&waiter{})
+	}
+	is.Equal(d.retriesAdmitted(), 2)
+}
+
+// Guards against a request that pays for retries in two failure domains, the one that it came to and the one that serves it.
+func TestRequestSentElsewhereEarnsNoRetry(t *testing.T) {
+	is := is.New(t)
+	d := retrier(1, firstTerm+1)
+	d.balance.shares = []share{{domain: "other", part: 1}}
+	d.balance.updatedAt = time.Now().Add(time.Hour)
+	d.balance.own = "d"
+	d.manager.self.Host = "h"
+	d.followers["h"] = &follower{holder: holder{"h", 1}, answered: true}
+	d.snap = config.NewSnapshot(1, []*configv1.Object{
+		{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: "s"}}},
+		{Kind: &configv1.Object_Policy{Policy: &configv1.Policy{Name: "p", Service: "s", BalanceRegions: true}}},
+	})
+	for range 10 {
+		w := newWaiter(Request{Service: "s", Follows: true, Objective: time.Now().Add(time.Hour)}, holder{"h", 1}, time.Now().Add(time.Hour), ident{})
+		w.apply(d, time.Now())
+		is.Equal((<-w.result).elsewhere, "other")
+	}
+	is.Equal(d.retriesAdmitted(), 0)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -62,8 +62,8 @@
 	// ConfigSource names where the dynamic configuration comes from, Dialect how requests are spelled.
 	ConfigSource string
 	Dialect      string
-	// RetryPercent and RetryBurst limit the retries of one dispatcher: the share of first attempts that pays for retries,
-	// and how many retries can be saved up.
+	// RetryPercent and RetryBurst limit the retries of a service in a failure domain: the share of first attempts that pays for
+	// retries, and how many retries can be saved up.
 	RetryPercent float64
 	RetryBurst   int
 	// ShiftPercent is the share of a region's requests of a service that may change their region within ShiftWindow.
@@ -112,7 +112,7 @@
 	fs.StringVar(&s.ConfigSource, "config-source", SourceTable, "where the dynamic configuration comes from")
 	fs.StringVar(&s.Dialect, "dialect", "", "how requests are spelled; empty for this project's own headers")
 	fs.Float64Var(&s.RetryPercent, "retry-percent", 10, "retries that a dispatcher allows, as a percentage of first attempts")
-	fs.IntVar(&s.RetryBurst, "retry-burst", 20, "retries that a dispatcher can save up")
+	fs.IntVar(&s.RetryBurst, "retry-burst", 20, "retries that the dispatchers of a service can save up in a failure domain")
 	fs.Float64Var(&s.ShiftPercent, "shift-percent", 10,
 		"share of a region's requests that may change their region within --shift-window to balance load, in percent")
 	fs.DurationVar(&s.ShiftWindow, "shift-window", 2*time.Second, "time for --shift-percent")
