Serve metrics at the address of the deploy file, by decision, reason, target state and store call

New: results of Acquire by reason with their wait, slots and targets by state of each dispatcher, refusals of callers by reason, calls of the platform by name and result with their time, and how long nothing was heard of each followed table.

--- a/pkg/entry/record.go
+++ b/pkg/entry/record.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -12,15 +13,31 @@
 type metrics struct {
 	served, broken, refused, cancelled, hedges, retries tally.Counter
 	latency                                             tally.Histogram
+	// reasons counts refusals by reason; others are counted under an empty one.
+	reasons map[reply.Reason]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	s := scope.SubScope("entry")
-	return &metrics{
+	m := &metrics{
 		served: s.Counter("served"), broken: s.Counter("broken"), refused: s.Counter("refused"),
 		cancelled: s.Counter("cancelled"), hedges: s.Counter("hedges"), retries: s.Counter("retries"),
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		reasons: map[reply.Reason]tally.Counter{},
 	}
+	for _, reason := range append(reply.Reasons(), "") {
+		m.reasons[reason] = s.Tagged(map[string]string{"reason": cmp.Or(string(reason), "other")}).Counter("refusals")
+	}
+	return m
+}
+
+func (m *metrics) refuse(reason reply.Reason) {
+	m.refused.Inc(1)
+	counter := m.reasons[reason]
+	if counter == nil {
+		counter = m.reasons[""]
+	}
+	counter.Inc(1)
 }
 
 // refuse answers with a refusal. Its outcome, if open, is not-run, except for a request with an idempotency key: an
@@ -34,7 +51,7 @@
 	}
 	rq.closeIfUnread(w.Header())
 	h.writeRefusal(w, rq, f)
-	h.metrics.refused.Inc(1)
+	h.metrics.refuse(f.Reason)
 	h.log.refused(rq, f)
 	if f.Status >= http.StatusInternalServerError && rq.service != nil {
 		h.record(rq, false, f.Reason == reply.ReasonCallerGone, sinceStart(rq))
--- a/pkg/entry/reply/reply.go
+++ b/pkg/entry/reply/reply.go
@@ -76,6 +76,21 @@
 	ReasonInternal            Reason = "internal"
 )
 
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonUnknownService, ReasonNotReady, ReasonBadTimeout, ReasonBadMethod,
+		ReasonBadProtocol, ReasonBadBody, ReasonBodyTooLarge, ReasonHeaderTooLarge,
+		ReasonNoCapacity, ReasonNoTarget, ReasonDeadline, ReasonPoison,
+		ReasonRetryBudget, ReasonTargetUnreachable, ReasonTargetBroken, ReasonTargetShed,
+		ReasonTargetFailed, ReasonTargetStalled, ReasonHostUnreachable, ReasonHostBroken,
+		ReasonCallerGone, ReasonKeyRequired, ReasonKeyInvalid, ReasonKeyReused,
+		ReasonTicketInvalid, ReasonTicketExpired, ReasonOwnerGone, ReasonOwnerUnreachable,
+		ReasonRecordExpired, ReasonRecordsFull, ReasonPlatformUnavailable, ReasonAnswerTooLarge,
+		ReasonInternal,
+	}
+}
+
 // Refusal is an answer that does not come from a target.
 type Refusal struct {
 	Status  int
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -54,6 +54,13 @@
 
 // Acquire asks the service's dispatcher for a slot, and its successor if the dispatcher does not answer.
 func (m *Manager) Acquire(ctx context.Context, req Request) (*Grant, error) {
+	began := time.Now()
+	grant, err := m.acquire(ctx, req)
+	m.acquired.count(err, time.Since(began))
+	return grant, err
+}
+
+func (m *Manager) acquire(ctx context.Context, req Request) (*Grant, error) {
 	snap := m.opts.Store.Current()
 	if snap.Service(req.Service) == nil {
 		return nil, refuse(peerv1.RefusalReason_REFUSAL_REASON_UNKNOWN_SERVICE, noTargetRetryAfter)
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -74,6 +74,7 @@
 	active bool
 	// superseded is set once a newer dispatcher of the service is known, or may exist; nothing is granted afterwards.
 	superseded bool
+	metrics    dispatcherMetrics
 	// stepped is when the goroutine last ran.
 	stepped time.Time
 }
@@ -91,6 +92,7 @@
 		retries: newRetries(id, m.opts.RetryBurst), poison: newPoison(), classes: classifier{routes: map[string]*routeStats{}},
 		followers: map[string]*follower{}, released: map[permitKey]bool{},
 		urgency: urgency{refusedAt: map[uint32]time.Time{}}, work: map[string]*work{}, memory: newMemory(),
+		metrics: newDispatcherMetrics(m.scope, service),
 		balance: balance{own: m.opts.FailureDomain, region: m.self.Region},
 	}
 }
@@ -108,6 +110,7 @@
 // run serves until stop is closed or the dispatcher is superseded, and then refuses everything that waits.
 func (d *dispatcher) run() {
 	defer close(d.done)
+	defer d.metrics.clear()
 	timer := time.NewTimer(aliveInterval)
 	defer timer.Stop()
 	armed := time.Now().Add(aliveInterval)
@@ -208,6 +211,7 @@
 	d.giveUp(now)
 	d.grantWaiting(now)
 	d.placeWaiting(now)
+	d.report(now)
 }
 
 // nextWake returns when settle must run again at the latest.
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
@@ -38,6 +39,8 @@
 	// 0.1 and 20.
 	RetryShare float64
 	RetryBurst float64
+	// Scope receives metrics; it may be nil.
+	Scope tally.Scope
 }
 
 const (
@@ -46,6 +49,9 @@
 )
 
 func (o Options) withDefaults() Options {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	o.ShiftShare = cmp.Or(o.ShiftShare, defaultShiftShare)
 	o.ShiftWindow = cmp.Or(o.ShiftWindow, defaultShiftWindow)
 	if o.RetryShare == 0 && o.RetryBurst == 0 {
@@ -57,11 +63,14 @@
 // Manager acquires and releases permits for this host and runs the dispatchers of the services that this host owns in its
 // failure domain.
 type Manager struct {
-	opts   Options
-	self   membership.Member
-	ctx    context.Context
-	cancel context.CancelFunc
-	group  conc.WaitGroup
+	opts  Options
+	scope tally.Scope
+	// acquired counts the results of Acquire.
+	acquired acquireMetrics
+	self     membership.Member
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
 
 	mu          sync.Mutex
 	closed      bool
@@ -98,7 +107,7 @@
 	o = o.withDefaults()
 	ctx, cancelAll := context.WithCancel(context.Background())
 	m := &Manager{
-		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll,
+		opts: o, scope: o.Scope.SubScope("permit"), acquired: newAcquireMetrics(o.Scope.SubScope("permit")), self: o.View.Self(), ctx: ctx, cancel: cancelAll,
 		dispatchers: map[string]*dispatcher{}, services: map[string]*clientState{},
 		known: map[string]time.Time{o.View.Self().Host: {}}, resting: map[string]rest{}, wake: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/pkg/permit/metrics_test.go
@@ -0,0 +1,71 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+)
+
+// Guards against decisions that no metric shows by their result, and against a reason of a newer version that stops the request.
+func TestAcquireResultsAreCounted(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	m := newAcquireMetrics(scope)
+	m.count(nil, time.Millisecond)
+	m.count(refuse(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, 0), time.Millisecond)
+	m.count(errors.Wrap(&ElsewhereError{FailureDomain: "b"}, "acquire"), time.Millisecond)
+	m.count(errors.New("the caller is gone"), time.Millisecond)
+	m.count(refuse(peerv1.RefusalReason(9999), 0), time.Millisecond)
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Value() > 0 {
+			counts[c.Tags()["result"]] = c.Value()
+		}
+	}
+	is.Equal(counts, map[string]int64{"granted": 1, "refused_overload": 1, "elsewhere": 1, "cancelled": 1})
+}
+
+// Guards against an operator who cannot see why a service has no room: how many targets are usable, and what the others are.
+func TestGaugesShowTheTargets(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	d := retrier(0, firstTerm)
+	d.metrics = newDispatcherMetrics(scope, "s")
+	now := time.Now()
+	add := func(name string, set func(*target)) {
+		target := d.slots.target(name)
+		target.closed, target.slots = false, 4
+		set(target)
+	}
+	add("a", func(t *target) { t.used = 1 })
+	add("b", func(t *target) { t.closed = true })
+	add("c", func(t *target) { t.quality.down = true })
+	add("d", func(t *target) { t.quality.quarantined = true })
+	add("e", func(t *target) { t.coldUntil = now.Add(time.Second) })
+	d.report(now)
+	gauges := func() map[string]float64 {
+		values := map[string]float64{}
+		for _, g := range scope.Snapshot().Gauges() {
+			is.Equal(g.Tags()["service"], "s")
+			values[g.Name()+g.Tags()["state"]] = g.Value()
+		}
+		return values
+	}
+	want := map[string]float64{
+		"free_slots": 11, "slots": 12, "waiting": 0, "targetsusable": 1, "targetsdraining": 1, "targetsunreachable": 1,
+		"targetsquarantined": 1, "targetscold": 1,
+	}
+	is.Equal(gauges(), want)
+	add("f", func(*target) {})
+	d.report(now.Add(reportInterval / 2)) // not due
+	is.Equal(gauges(), want)
+	d.metrics.clear()
+	for _, value := range gauges() {
+		is.Equal(value, 0.0)
+	}
+}
--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -9,6 +9,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
 // ModuleID is the module's name in the kernel.
@@ -16,7 +17,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{peer.ModuleID, membership.ModuleID, config.ModuleID}, New: func() kernel.Module { return &Module{} },
+		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID}, New: func() kernel.Module { return &Module{} },
 	})
 }
 
@@ -33,11 +34,13 @@
 		node    *peer.Module
 		members *membership.Module
 		conf    *config.Module
+		scope   *telemetry.Module
 	)
 	err := kernel.Bind(app,
 		kernel.To(&node, peer.ModuleID),
 		kernel.To(&members, membership.ModuleID),
 		kernel.To(&conf, config.ModuleID),
+		kernel.To(&scope, telemetry.ModuleID),
 	)
 	if err != nil {
 		return err
@@ -47,6 +50,7 @@
 		FailureDomain: app.Settings.Domain(),
 		ShiftShare:    app.Settings.ShiftPercent / 100, ShiftWindow: app.Settings.ShiftWindow,
 		RetryShare: app.Settings.RetryPercent / 100, RetryBurst: float64(app.Settings.RetryBurst),
+		Scope:    scope.Scope,
 		Loads:    func(service string) []DomainLoad { return domainLoads(members.Tracker, service) },
 		LastHeld: func(host string) []*peerv1.HeldPermits { return lastHeld(members.Tracker, host) },
 	})
--- a/pkg/permit/retry_test.go
+++ b/pkg/permit/retry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -12,7 +13,9 @@
 
 // retrier returns a dispatcher of a service with a number of targets, of which 40 retries can be saved up.
 func retrier(targets int, term uint64) *dispatcher {
-	m := &Manager{opts: Options{RetryShare: 0.2, RetryBurst: 40, FailureDomain: "d", ShiftShare: 0.1, ShiftWindow: time.Second}}
+	m := &Manager{scope: tally.NoopScope, opts: Options{
+		RetryShare: 0.2, RetryBurst: 40, FailureDomain: "d", ShiftShare: 0.1, ShiftWindow: time.Second,
+	}}
 	d := newDispatcher(m, "s", ident{term: term})
 	d.snap = snapshotOf(targets)
 	d.shareRetries()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -53,7 +53,9 @@
 	// CallerListen, OperatorListen and PeerListen are IP numbers with ports.
 	CallerListen   string
 	OperatorListen string
-	PeerListen     string
+	// MetricsListen is an IP number with a port for collectors of metrics, which need no credentials there; empty for none.
+	MetricsListen string
+	PeerListen    string
 	// Seeds are peer addresses that are tried in addition to the platform's host list.
 	Seeds []string
 	// PlatformDriver names the registered driver, PlatformURL says where the platform is.
@@ -103,6 +105,7 @@
 	fs.StringVar(&s.Region, "region", "", "region of the failure domain")
 	fs.StringVar(&s.CallerListen, "caller-listen", "127.0.0.1:8080", "IP number and port for callers")
 	fs.StringVar(&s.OperatorListen, "operator-listen", "127.0.0.1:8081", "IP number and port for operators and metrics")
+	fs.StringVar(&s.MetricsListen, "metrics-listen", "", "IP number and port that serves the metrics to anybody; empty for none")
 	fs.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:8082", "IP number and port for other hosts")
 	fs.StringSliceVar(&s.Seeds, "seeds", nil, "peer addresses to try besides the platform's host list")
 	fs.StringVar(&s.PlatformDriver, "platform-driver", "httpkv", "name of the platform driver")
@@ -173,6 +176,9 @@
 			add(a.flag, a.value, "must be an IP number and a port, such as 127.0.0.1:8080")
 		}
 	}
+	if _, err := netip.ParseAddrPort(s.MetricsListen); err != nil && s.MetricsListen != "" {
+		add("metrics-listen", s.MetricsListen, "must be empty or an IP number and a port")
+	}
 	for _, seed := range s.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
 			add("seeds", seed, "must be an IP number and a port")
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -51,3 +51,13 @@
 	_, err = parse(t, "--host=h", "--failure-domain=d", "--region=r", "--operator-listen=0.0.0.0:1", "--operator-token=x")
 	is.NoErr(err)
 }
+
+// Guards against a daemon that starts without the port that collectors of metrics use, because its address was mistyped.
+func TestMetricsAddressIsChecked(t *testing.T) {
+	is := is.New(t)
+	s, err := parse(t, "--host=h", "--failure-domain=d", "--region=r", "--metrics-listen=10.0.0.1:9464")
+	is.NoErr(err)
+	is.Equal(s.MetricsListen, "10.0.0.1:9464")
+	_, err = parse(t, "--host=h", "--failure-domain=d", "--region=r", "--metrics-listen=:9464")
+	is.True(err != nil)
+}
--- /dev/null
+++ b/pkg/store/measure_test.go
@@ -0,0 +1,59 @@
+package store_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
+)
+
+// failing is a platform without a feed whose commits have no answer.
+type failing struct{ store.Platform }
+
+func (failing) Commit(context.Context, store.Txn) error { return store.ErrUnknownOutcome }
+
+// feed adds a feed that has lost its history.
+type feed struct{ failing }
+
+func (feed) List(context.Context, string) ([]store.WatchedRow, uint64, error) { return nil, 3, nil }
+
+func (feed) Changes(context.Context, string, uint64, time.Duration) ([]store.WatchedRow, uint64, error) {
+	return nil, 0, store.ErrHistoryLost
+}
+
+// Guards against calls of the platform that no metric shows by name and result, and against a platform whose feed is hidden by
+// the measuring.
+func TestCallsAreCounted(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	p := store.Measure(feed{failing{memory.New()}}, scope)
+	ctx := context.Background()
+	_, err := p.Get(ctx, "none")
+	is.True(err != nil)
+	is.True(p.Commit(ctx, store.Txn{}) != nil)
+	f, ok := p.(store.Feed)
+	is.True(ok)
+	_, version, err := f.List(ctx, "t")
+	is.NoErr(err)
+	is.Equal(version, uint64(3))
+	_, _, err = f.Changes(ctx, "t", 3, 0)
+	is.True(err != nil)
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Value() > 0 {
+			counts[strings.Join([]string{c.Name(), c.Tags()["call"], c.Tags()["result"]}, " ")] = c.Value()
+		}
+	}
+	is.Equal(counts, map[string]int64{
+		"store.calls get not_found": 1, "store.calls commit unknown_outcome": 1, "store.calls list ok": 1,
+		"store.calls changes history_lost": 1,
+	})
+	_, ok = store.Measure(failing{memory.New()}, tally.NoopScope).(store.Feed)
+	is.True(!ok)
+}
--- a/pkg/store/module.go
+++ b/pkg/store/module.go
@@ -5,13 +5,14 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
+	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
 // ModuleID is the module's name in the kernel.
 const ModuleID = "platform"
 
 func init() {
-	kernel.Register(kernel.Info{ID: ModuleID, New: func() kernel.Module { return &Module{} }})
+	kernel.Register(kernel.Info{ID: ModuleID, After: []string{telemetry.ModuleID}, New: func() kernel.Module { return &Module{} }})
 }
 
 // Module opens the platform with the driver that the settings name.
@@ -23,9 +24,16 @@
 
 // Provision opens the platform. Drivers connect on demand, so an outage does not prevent the start.
 func (m *Module) Provision(app *kernel.App) error {
+	var scope *telemetry.Module
+	if err := kernel.Bind(app, kernel.To(&scope, telemetry.ModuleID)); err != nil {
+		return err
+	}
 	p, err := Open(app.Settings.PlatformDriver, app.Settings.PlatformURL)
-	m.Platform = p
-	return steperr.Wrap(err, "open platform", app.Settings.PlatformURL)
+	if err != nil {
+		return steperr.Wrap(err, "open platform", app.Settings.PlatformURL)
+	}
+	m.Platform = Measure(p, scope.Scope)
+	return nil
 }
 
 // Validate has nothing to check.
--- /dev/null
+++ b/pkg/telemetry/port_test.go
@@ -0,0 +1,39 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against metrics that a collector cannot read, against a port that serves more than them, and against one that stays open
+// when the daemon stops before or after it has started.
+func TestPortServesMetricsOnly(t *testing.T) {
+	is := is.New(t)
+	none, err := listen("", http.NotFoundHandler())
+	is.NoErr(err)
+	is.True(none == nil)
+	p, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "up 1\n") }))
+	is.NoErr(err)
+	p.start()
+	base := "http://" + p.listener.Addr().String()
+	resp, err := http.Get(base + Path)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(string(body), "up 1\n")
+	resp, err = http.Get(base + "/debug/pprof/")
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.NoErr(p.close(t.Context()))
+	_, err = http.Get(base + Path)
+	is.True(err != nil)
+
+	unstarted, err := listen("127.0.0.1:0", http.NotFoundHandler())
+	is.NoErr(err)
+	is.NoErr(unstarted.close(t.Context()))
+}
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
@@ -32,6 +33,8 @@
 	Scope   tally.Scope
 	handler http.Handler
 	closer  io.Closer
+	// port is nil if the metrics are served on the operators' port only.
+	port *port
 }
 
 var _ kernel.Module = (*Module)(nil)
@@ -53,17 +56,30 @@
 	}
 	m.Scope, m.closer = tally.NewRootScope(options, reportInterval)
 	m.handler = reporter.HTTPHandler()
-	return nil
+	var err error
+	m.port, err = listen(app.Settings.MetricsListen, m.handler)
+	return err
 }
 
 // Validate has nothing to check.
 func (m *Module) Validate() error { return nil }
 
-// Start has nothing to start; the scope reports from its own goroutine.
-func (m *Module) Start(context.Context) error { return nil }
+// Start serves the metrics if they have a port of their own. The scope reports from its own goroutine.
+func (m *Module) Start(context.Context) error {
+	if m.port != nil {
+		m.port.start()
+	}
+	return nil
+}
 
-// Cleanup reports once more and stops the scope.
-func (m *Module) Cleanup(context.Context) error { return m.closer.Close() }
+// Cleanup reports once more, stops the scope and closes the port.
+func (m *Module) Cleanup(ctx context.Context) error {
+	err := m.closer.Close()
+	if m.port != nil {
+		err = errors.Join(err, m.port.close(ctx))
+	}
+	return err
+}
 
 // Handler serves the metrics in the Prometheus text format.
 func (m *Module) Handler() http.Handler { return m.handler }
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -80,6 +80,8 @@
 	// failingSince is when reads of the platform began to fail, or zero. Only the task that reads uses it.
 	failingSince time.Time
 	retry        time.Duration
+	// age shows for how many seconds nothing was heard of the table.
+	age tally.Gauge
 }
 
 // NewFollower registers the control calls. Add tables before Run.
@@ -97,7 +99,8 @@
 // Add follows a table once Run is called.
 func (f *Follower) Add(o TableOptions) *Table {
 	t := newTable(o.Name, o.Same)
-	f.tables = append(f.tables, &followed{TableOptions: o, Table: t})
+	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
+	f.tables = append(f.tables, &followed{TableOptions: o, Table: t, age: age})
 	return t
 }
 
@@ -232,10 +235,19 @@
 		if reader, other := f.reader(); other {
 			f.ask(ctx, reader)
 		}
+		f.reportAges(time.Now())
 		sleep.For(ctx, askInterval)
 	}
 }
 
+func (f *Follower) reportAges(now time.Time) {
+	for _, t := range f.tables {
+		if age, ok := t.Age(now); ok {
+			t.age.Update(age.Seconds())
+		}
+	}
+}
+
 // askAnyone asks a random host, because the platform may turn away some hosts and serve others.
 func (f *Follower) askAnyone(ctx context.Context) {
 	self := f.opts.View.Self()
