Read the host list often only until it names no new host

Change: a host reads every 5 s until two reads in a row named no new host; one that knows nobody goes on. A failed announcement is repeated after seconds. Test: TestHostsThatKnowEachOtherReadTheListSeldom fails without; TestPlatformMarksLeavingHosts passes.

--- a/pkg/membership/hostlist.go
+++ b/pkg/membership/hostlist.go
@@ -13,13 +13,16 @@
 // hostListLoop reads the platform's list seldom and at random times, so that many hosts cost the platform little.
 func (t *Tracker) hostListLoop() {
 	retry := listRetry
-	for reads := 0; ; reads++ {
+	known := 0 // reads in a row that named no new host
+	for {
 		t.pausePoint()
-		if reads%announceEvery == 0 {
-			t.announce(t.ctx)
+		fresh, err := t.readHostList()
+		known++
+		if fresh > 0 || err != nil {
+			known = 0
 		}
-		wait := t.jitter(t.readInterval())
-		if err := t.readHostList(); err != nil {
+		wait := t.jitter(t.readInterval(known))
+		if err != nil {
 			log.Warn().Err(err).Str("step", "read host list").Msg("host list not read")
 			wait = t.jitter(retry)
 			retry = min(2*retry, listInterval)
@@ -36,10 +39,13 @@
 	}
 }
 
-func (t *Tracker) readInterval() time.Duration {
+// readInterval returns the mean time until the next read after a number of reads in a row that named no new host. A young host
+// reads often until then, and for as long as it knows no other host.
+func (t *Tracker) readInterval(known int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Since(t.startedAt) < youngTime {
+	alone := len(t.view.Load().all) == 1
+	if time.Since(t.startedAt) < youngTime && (known < knownReads || alone) {
 		return youngListInterval
 	}
 	return listInterval
@@ -52,9 +58,36 @@
 	return d/2 + time.Duration(t.random.Int64N(int64(d)))
 }
 
-func (t *Tracker) announce(ctx context.Context) {
+// announceLoop keeps this host on the platform's list. The first announcements follow each other soon: the removal that the
+// previous process of this host asked for when it left can be carried out late.
+func (t *Tracker) announceLoop() {
+	for {
+		t.pausePoint()
+		timer := time.NewTimer(t.announcePause(t.announce(t.ctx)))
+		select {
+		case <-t.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// announcePause returns the time from one announcement to the next.
+func (t *Tracker) announcePause(announced bool) time.Duration {
+	switch {
+	case !announced:
+		return t.jitter(youngListInterval)
+	case time.Since(t.startedAt)+youngAnnounceInterval < youngTime:
+		return youngAnnounceInterval
+	}
+	return announceInterval
+}
+
+// announce reports whether the platform's list has this host.
+func (t *Tracker) announce(ctx context.Context) bool {
 	if t.opts.HostList == nil {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -66,25 +99,42 @@
 	if err != nil {
 		log.Warn().Err(err).Str("step", "announce host").Msg("host not announced to the platform")
 	}
+	return err == nil
 }
 
-func (t *Tracker) readHostList() error {
+// readHostList returns the number of hosts on the list that were not known.
+func (t *Tracker) readHostList() (fresh int, err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, listTimeout)
 	defer cancel()
 	entries, err := t.opts.HostList.Hosts(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := false
 	for _, e := range entries {
+		if e.Host != t.opts.Self.Host && t.records[e.Host] == nil && !t.knowsElsewhere(e.Host) {
+			fresh++
+		}
 		changed = t.takeEntry(e) || changed
 	}
 	if changed {
 		t.publish()
 	}
-	return nil
+	return fresh, nil
+}
+
+// knowsElsewhere reports whether a host of another failure domain is known. t.mu must be held.
+func (t *Tracker) knowsElsewhere(host string) bool {
+	for _, d := range t.domains {
+		for _, m := range d.members {
+			if m.GetHost() == host {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // takeEntry returns whether the table changed.
--- a/pkg/membership/leave_test.go
+++ b/pkg/membership/leave_test.go
@@ -64,3 +64,21 @@
 		})
 	}
 }
+
+// Guards against hosts that read the list every few seconds for two minutes though they know all the others: half of the calls of
+// a grown deployment on its platform were such reads. A host that knows nobody goes on reading.
+func TestHostsThatKnowEachOtherReadTheListSeldom(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.startMany("x", 3)
+		c.converge(10 * time.Second)
+		time.Sleep(80 * time.Second)
+		is.True(c.list.reads <= 3*(2+2+2)) // two reads that name new hosts, two that do not, two of the mean interval
+
+		alone := newCluster(t)
+		alone.startMany("y", 1)
+		time.Sleep(80 * time.Second)
+		is.True(alone.list.reads >= 8)
+	})
+}
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -69,10 +69,13 @@
 	// that start together are not on it yet. 2,100 hosts that start at once make 420 reads/s.
 	youngListInterval = 5 * time.Second
 	youngTime         = 2 * time.Minute
+	// knownReads is how many reads in a row must name no new host before a young host reads as seldom as others.
+	knownReads = 2
 	// listRetry is the first pause after a failed read; it doubles up to listInterval.
 	listRetry = 1 * time.Second
-	// announceEvery is the number of reads of the host list for each announcement.
-	announceEvery = 5
+	// announceInterval is the time between two announcements, youngAnnounceInterval that of a host in its first youngTime.
+	announceInterval      = 5 * time.Minute
+	youngAnnounceInterval = 25 * time.Second
 	// listLag is how long the list may still describe an earlier incarnation of a host as leaving.
 	listLag = 2 * time.Minute
 	// listTimeout limits one call to the platform.
--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -120,6 +120,7 @@
 	t.workers.Go(t.summaryLoop)
 	if t.opts.HostList != nil {
 		t.workers.Go(t.hostListLoop)
+		t.workers.Go(t.announceLoop)
 	}
 }
 
