--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -112,7 +112,7 @@
 	if line == nil {
 		return
 	}
-	line = line.Int64("first_byte_ms", ans.firstByte.Milliseconds()).Str("bytes", strconv.FormatUint(ans.bytes, 10))
+	line = line.Int64("first_byte_ms", ans.firstByte.Milliseconds()).Uint64("bytes", ans.bytes)
 	if percent := ans.report.SlowdownPercent; percent > 0 {
 		line = line.Int("target_slowdown_percent", percent)
 	}
