Grow the fault soak: planned stops, paused targets, lost failure domains, any number of rounds

TestProcessesUnderFaults plays three more kinds of fault (9 rounds instead of 6), and make soak plays any number of rounds of them in an order that a seed repeats.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STATICCHECK = $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.7.0
 PROTO = $(shell find proto -name '*.proto')
 
-.PHONY: build test lint generate demo bench capacity
+.PHONY: build test soak lint generate demo bench capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,6 +15,13 @@
 	@cat KNOWN-RED.txt
 	$(GO) test -race -timeout 20m -skip '$(KNOWN_RED)' ./...
 
+# Real processes under random faults, for about four seconds a round. SOAK_SEED repeats an order of faults.
+SOAK_ROUNDS ?= 100
+SOAK_SEED ?= $(shell date +%s)
+soak:
+	RATTANHITCH_SOAK_ROUNDS=$(SOAK_ROUNDS) RATTANHITCH_SOAK_SEED=$(SOAK_SEED) \
+	  $(GO) test -count=1 -timeout 2h -v -run TestProcessesUnderFaults ./pkg/daemon
+
 lint:
 	@test -z "$$(gofmt -l cmd pkg internal bench demo platform)" || { gofmt -l cmd pkg internal bench demo platform; exit 1; }
 	$(GO) vet ./...
--- a/pkg/daemon/process_test.go
+++ b/pkg/daemon/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -285,38 +286,107 @@
 	for i := range 12 {
 		callers.Go(func() { load.run(ctx, uint64(i)) })
 	}
-	const seed = 7
-	t.Logf("fault seed %d", seed)
-	p.injectFaults(rand.New(rand.NewPCG(seed, 1)))
+	rounds, seed := soakNumber(t, "RATTANHITCH_SOAK_ROUNDS", len(faultKinds)), soakNumber(t, "RATTANHITCH_SOAK_SEED", 7)
+	t.Logf("%d rounds of faults, seed %d", rounds, seed)
+	p.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), rounds)
 	p.waitFor("service after the faults", func() bool { return p.allAnswer(p.callerURLs("/tides/x")) })
 	cancel()
 	callers.Wait()
 	p.check(is, load)
 }
 
-// injectFaults kills, pauses and restarts hosts and switches the platform off and on.
-func (p *processes) injectFaults(rnd *rand.Rand) {
-	const rounds = 6
+// soakNumber reads a number for a longer run from the environment; see make soak.
+func soakNumber(t *testing.T, variable string, otherwise int) int {
+	text := os.Getenv(variable)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("%s=%q: must be a number of at least 1", variable, text)
+	}
+	return n
+}
+
+// fault is something that happens to a process from outside, and ends.
+type fault func(p *processes, rnd *rand.Rand)
+
+// faultKinds come in this order, and at random once all have come. Targets are not killed: their counts of executions would be
+// lost, by which the test tells whether a command ran twice.
+var faultKinds = []fault{
+	killHost, pauseHost, pausePlatform, killHost, pauseHost, pausePlatform, pauseTarget, stopHost, killDomain,
+}
+
+// injectFaults causes one fault after the other.
+func (p *processes) injectFaults(rnd *rand.Rand, rounds int) {
 	for round := range rounds {
-		h := p.hosts[rnd.IntN(len(p.hosts))]
-		switch round % 3 {
-		case 0:
-			p.kill(h.name)
-			time.Sleep(time.Duration(500+rnd.IntN(2500)) * time.Millisecond)
-			p.startHost(h)
-		case 1:
-			p.signal(h.name, syscall.SIGSTOP)
-			time.Sleep(time.Duration(500+rnd.IntN(3500)) * time.Millisecond)
-			p.signal(h.name, syscall.SIGCONT)
-		case 2:
-			p.signal("platform", syscall.SIGSTOP)
-			time.Sleep(time.Duration(500+rnd.IntN(2500)) * time.Millisecond)
-			p.signal("platform", syscall.SIGCONT)
+		kind := round
+		if kind >= len(faultKinds) {
+			kind = rnd.IntN(len(faultKinds))
 		}
+		faultKinds[kind](p, rnd)
 		time.Sleep(time.Second)
 	}
 }
 
+func (p *processes) anyHost(rnd *rand.Rand) processHost { return p.hosts[rnd.IntN(len(p.hosts))] }
+
+// faultTime returns the length of a fault, from half a second up to a number of milliseconds beyond it.
+func faultTime(rnd *rand.Rand, spread int) time.Duration {
+	return time.Duration(500+rnd.IntN(spread)) * time.Millisecond
+}
+
+func killHost(p *processes, rnd *rand.Rand) {
+	h := p.anyHost(rnd)
+	p.kill(h.name)
+	time.Sleep(faultTime(rnd, 2500))
+	p.startHost(h)
+}
+
+func (p *processes) pause(name string, length time.Duration) {
+	p.signal(name, syscall.SIGSTOP)
+	time.Sleep(length)
+	p.signal(name, syscall.SIGCONT)
+}
+
+func pauseHost(p *processes, rnd *rand.Rand) { p.pause(p.anyHost(rnd).name, faultTime(rnd, 3500)) }
+
+func pausePlatform(p *processes, rnd *rand.Rand) { p.pause("platform", faultTime(rnd, 2500)) }
+
+func pauseTarget(p *processes, rnd *rand.Rand) {
+	p.pause(fmt.Sprintf("t%d", 1+rnd.IntN(len(p.targets))), faultTime(rnd, 2500))
+}
+
+// stopHost stops a host in order and starts it again.
+func stopHost(p *processes, rnd *rand.Rand) {
+	h := p.anyHost(rnd)
+	p.signal(h.name, syscall.SIGTERM)
+	p.mu.Lock()
+	cmd := p.running[h.name]
+	delete(p.running, h.name)
+	p.mu.Unlock()
+	if err := cmd.Wait(); err != nil {
+		p.t.Errorf("host %s did not stop in order: %v", h.name, err)
+	}
+	p.startHost(h)
+}
+
+// killDomain kills all hosts of a failure domain at the same moment.
+func killDomain(p *processes, rnd *rand.Rand) {
+	domain := p.anyHost(rnd).domain
+	var killed []processHost
+	for _, h := range p.hosts {
+		if h.domain == domain {
+			p.kill(h.name)
+			killed = append(killed, h)
+		}
+	}
+	time.Sleep(faultTime(rnd, 1500))
+	for _, h := range killed {
+		p.startHost(h)
+	}
+}
+
 func (p *processes) check(is *is.I, load *callerLoad) {
 	p.t.Helper()
 	report := p.report()
