--- a/pkg/membership/contact.go
+++ b/pkg/membership/contact.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/internal/sleep"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 )
@@ -34,18 +35,12 @@
 // contactLoop finds hosts that no host of the ring knows: at the start, after a partition, and those declared dead by
 // mistake.
 func (t *Tracker) contactLoop() {
-	for {
+	for wait := time.Duration(0); sleep.For(t.ctx, wait); {
 		t.pausePoint()
 		for _, to := range t.chooseContacts() {
 			t.spawn(func() { t.sendHeartbeat(to, nil) })
 		}
-		timer := time.NewTimer(t.contactPause())
-		select {
-		case <-t.ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+		wait = t.contactPause()
 	}
 }
 
--- a/pkg/membership/hostlist.go
+++ b/pkg/membership/hostlist.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rattanhitch/rattanhitch/internal/sleep"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
@@ -14,14 +15,14 @@
 func (t *Tracker) hostListLoop() {
 	retry := listRetry
 	known := 0 // reads in a row that named no new host
-	for {
+	for wait := time.Duration(0); sleep.For(t.ctx, wait); {
 		t.pausePoint()
 		fresh, err := t.readHostList()
 		known++
 		if fresh > 0 || err != nil {
 			known = 0
 		}
-		wait := t.jitter(t.readInterval(known))
+		wait = t.jitter(t.readInterval(known))
 		if err != nil {
 			log.Warn().Err(err).Str("step", "read host list").Msg("host list not read")
 			wait = t.jitter(retry)
@@ -29,13 +30,6 @@
 		} else {
 			retry = listRetry
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-t.ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
 	}
 }
 
@@ -61,15 +55,9 @@
 // announceLoop keeps this host on the platform's list. The first announcements follow each other soon: the removal that the
 // previous process of this host asked for when it left can be carried out late.
 func (t *Tracker) announceLoop() {
-	for {
+	for wait := time.Duration(0); sleep.For(t.ctx, wait); {
 		t.pausePoint()
-		timer := time.NewTimer(t.announcePause(t.announce(t.ctx)))
-		select {
-		case <-t.ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+		wait = t.announcePause(t.announce(t.ctx))
 	}
 }
 
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -14,6 +14,7 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
+	"github.com/rattanhitch/rattanhitch/internal/port"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 )
 
@@ -34,7 +35,7 @@
 	handler http.Handler
 	closer  io.Closer
 	// port is nil if the metrics are served on the operators' port only.
-	port *port
+	port *port.Port
 }
 
 var _ kernel.Module = (*Module)(nil)
@@ -67,7 +68,7 @@
 // Start serves the metrics if they have a port of their own. The scope reports from its own goroutine.
 func (m *Module) Start(context.Context) error {
 	if m.port != nil {
-		m.port.start()
+		m.port.Start()
 	}
 	return nil
 }
@@ -76,7 +77,7 @@
 func (m *Module) Cleanup(ctx context.Context) error {
 	err := m.closer.Close()
 	if m.port != nil {
-		err = errors.Join(err, m.port.close(ctx))
+		err = errors.Join(err, m.port.Close(ctx))
 	}
 	return err
 }
