Do not take a missing report of a region for the loss of its slots

Change: a region without any report keeps its slots for the rule of losses. One that lost its targets reports its demand. Test: TestMissingReportIsNoLoss fails without.

--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -109,12 +109,16 @@
 // demand returns the work that callers ask for, in slots.
 func (b *balance) demand(d *dispatcher) float64 { return b.rate * d.meanHold[classShort].Seconds() }
 
-// noteLoss reports whether a failure domain has lost a large part of its slots.
+// noteLoss reports whether a failure domain has lost a large part of its slots. One that reports neither slots nor demand has no
+// dispatcher for the moment: it keeps its slots, or its requests would leave at once and come back slowly.
 func (b *balance) noteLoss(loads []DomainLoad) bool {
 	lost := false
 	most := make(map[string]float64, len(loads))
 	for _, l := range loads {
 		most[l.Domain] = max(l.Slots, b.slots[l.Domain])
+		if l.Slots == 0 && l.Demand == 0 {
+			continue
+		}
 		if l.Slots < lossShare*most[l.Domain] {
 			most[l.Domain] = l.Slots
 			lost = true
--- a/pkg/permit/balance_test.go
+++ b/pkg/permit/balance_test.go
@@ -141,6 +141,30 @@
 	is.True(part(b.shares, "a")-low < 0.0026)
 }
 
+// Guards against requests that leave a region at once, and come back slowly, because its dispatcher was replaced and did not report
+// for a second; a region whose targets are lost reports its demand.
+func TestMissingReportIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	b := newBalanceOf()
+	b.others = []DomainLoad{{Domain: "b", Slots: 91, Demand: 20}}
+	b.d.meanHold[classShort] = 150 * time.Millisecond
+	for range int(30 * time.Second / balanceInterval) {
+		b.step(20)
+	}
+	before := part(b.shares, "b")
+	is.True(before > 0.6)
+	reported := b.others
+	b.others = []DomainLoad{{Domain: "b"}}
+	b.step(20)
+	is.True(before-part(b.shares, "b") < 0.0026) // a twentieth in 2 s
+	b.others = reported
+	b.step(20)
+	is.True(near(part(b.shares, "b"), before))
+	b.others = []DomainLoad{{Domain: "b", Demand: 20}}
+	b.step(20)
+	is.Equal(part(b.shares, "b"), 0.0)
+}
+
 // Guards against objects that wander between regions, and against shares that do not hold within a few requests because few
 // objects are popular.
 func TestObjectsStayInTheirRegion(t *testing.T) {
