--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -63,14 +63,14 @@
 // Manager acquires and releases permits for this host and runs the dispatchers of the services that this host owns in its
 // failure domain.
 type Manager struct {
-	opts  Options
-	scope tally.Scope
-	// acquired counts the results of Acquire.
+	opts   Options
+	self   membership.Member
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  conc.WaitGroup
+	// scope is that of the package; acquired counts the results of Acquire in it.
+	scope    tally.Scope
 	acquired acquireMetrics
-	self     membership.Member
-	ctx      context.Context
-	cancel   context.CancelFunc
-	group    conc.WaitGroup
 
 	mu          sync.Mutex
 	closed      bool
@@ -106,8 +106,9 @@
 func NewManager(o Options) *Manager {
 	o = o.withDefaults()
 	ctx, cancelAll := context.WithCancel(context.Background())
+	scope := o.Scope.SubScope("permit")
 	m := &Manager{
-		opts: o, scope: o.Scope.SubScope("permit"), acquired: newAcquireMetrics(o.Scope.SubScope("permit")), self: o.View.Self(), ctx: ctx, cancel: cancelAll,
+		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll, scope: scope, acquired: newAcquireMetrics(scope),
 		dispatchers: map[string]*dispatcher{}, services: map[string]*clientState{},
 		known: map[string]time.Time{o.View.Self().Host: {}}, resting: map[string]rest{}, wake: make(chan struct{}, 1),
 	}
