--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -17,7 +17,8 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID}, New: func() kernel.Module { return &Module{} },
+		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID},
+		New: func() kernel.Module { return &Module{} },
 	})
 }
 
--- a/pkg/permit/retry_test.go
+++ b/pkg/permit/retry_test.go
@@ -65,7 +65,8 @@
 		{Kind: &configv1.Object_Policy{Policy: &configv1.Policy{Name: "p", Service: "s", BalanceRegions: true}}},
 	})
 	for range 10 {
-		w := newWaiter(Request{Service: "s", Follows: true, Objective: time.Now().Add(time.Hour)}, holder{"h", 1}, time.Now().Add(time.Hour), ident{})
+		later := time.Now().Add(time.Hour)
+		w := newWaiter(Request{Service: "s", Follows: true, Objective: later}, holder{"h", 1}, later, ident{})
 		w.apply(d, time.Now())
 		is.Equal((<-w.result).elsewhere, "other")
 	}
