--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -176,7 +176,7 @@
 func (m *Module) ready(w http.ResponseWriter, _ *http.Request) {
 	h := health{
 		Status:        "ready",
-		ConfigVersion: m.conf.Store.Current().Version,
+		ConfigVersion: m.conf.Store.Current().ReportedVersion(),
 		Leaving:       m.members.Tracker.Self().State == membership.StateLeaving,
 		InFlight:      m.InFlight(),
 	}
--- a/pkg/config/manager.go
+++ b/pkg/config/manager.go
@@ -202,13 +202,14 @@
 
 func (m *Manager) markReady() { m.readyOnce.Do(func() { close(m.ready) }) }
 
-// markReadyOnFirstSnapshot marks the manager as ready once an external Source has put a snapshot into force.
-func (m *Manager) markReadyOnFirstSnapshot(ctx context.Context) {
+// followSource marks the manager as ready once an external Source has put a snapshot into force, and reports the version of each
+// snapshot until ctx ends.
+func (m *Manager) followSource(ctx context.Context) {
 	for {
 		changed := m.store.Changed()
-		if m.store.Current().Version > 0 {
+		if snap := m.store.Current(); snap.Version > 0 {
 			m.markReady()
-			return
+			m.options.Scope.Gauge("version").Update(float64(snap.ReportedVersion()))
 		}
 		select {
 		case <-changed:
@@ -256,7 +257,7 @@
 // Status returns the state of this host's configuration.
 func (m *Manager) Status() Status {
 	return Status{
-		InForce: m.store.Current().Version,
+		InForce: m.store.Current().ReportedVersion(),
 		Newest:  m.history.version(),
 		Problem: m.history.lastProblem(),
 		Loaded:  m.isReady(),
--- a/pkg/config/module.go
+++ b/pkg/config/module.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	m.Store = NewStore()
-	members.ConfigVersion = func() uint64 { return m.Store.Current().Version }
+	members.ConfigVersion = func() uint64 { return m.Store.Current().ReportedVersion() }
 	if m.source, err = openSource(app); err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 		return nil
 	}
 	m.tasks.Go(func() { m.source.Run(ctx, m.Store) })
-	m.tasks.Go(func() { m.Manager.markReadyOnFirstSnapshot(ctx) })
+	m.tasks.Go(func() { m.Manager.followSource(ctx) })
 	return nil
 }
 
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -68,7 +68,10 @@
 // (see With), so that a change does not copy all objects.
 type Snapshot struct {
 	Version uint64
-	objects objectShards
+	// SourceVersion is the version that an external Source gave the configuration, or 0 without one. With a Source, Version counts
+	// the snapshots of this host and cannot be compared between hosts.
+	SourceVersion uint64
+	objects       objectShards
 	// lists holds the objects of each kind, keyed by kind.
 	lists map[string]*sortedList
 	// targets is keyed by service and failure domain; each list is sorted by name.
@@ -147,6 +150,9 @@
 	}
 }
 
+// ReportedVersion returns the version to show to operators, which is comparable between hosts.
+func (s *Snapshot) ReportedVersion() uint64 { return cmp.Or(s.SourceVersion, s.Version) }
+
 // Object returns an object, or nil.
 func (s *Snapshot) Object(k Key) *configv1.Object { return s.objects.get(k) }
 
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -77,7 +77,10 @@
 		line = line.Strs("targets", rq.history.targets)
 	}
 	if !rq.deadline.IsZero() {
-		line = line.Int64("timeout_ms", rq.deadline.Sub(rq.start).Milliseconds()).Uint64("config", rq.configVersion)
+		line = line.Int64("timeout_ms", rq.deadline.Sub(rq.start).Milliseconds())
+	}
+	if rq.configVersion > 0 {
+		line = line.Uint64("config", rq.configVersion)
 	}
 	if o := rq.objective(); !o.IsZero() {
 		line = line.Int64("objective_ms", o.Sub(rq.start).Milliseconds())
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -56,7 +56,7 @@
 	// domain that it chose.
 	followsRedirects bool
 	redirectDomain   string
-	// configVersion is the version of the configuration that applies to the request.
+	// configVersion is the reported version of the configuration that applies to the request.
 	configVersion uint64
 	history       routingHistory
 	mode          mode
@@ -92,7 +92,7 @@
 			strconv.Itoa(n)+" bytes, allowed "+strconv.Itoa(h.opts.Limits.MaxHeaderBytes))
 	}
 	snap := h.opts.Store.Current()
-	rq.configVersion = snap.Version
+	rq.configVersion = snap.ReportedVersion()
 	if snap.Version == 0 {
 		f := refusal(http.StatusServiceUnavailable, reply.ReasonNotReady, "no configuration is loaded yet")
 		f.RetryAfter = notReadyRetryAfter
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -33,6 +33,8 @@
 	value   []byte
 	version uint64
 	deleted bool
+	// from is the host that sent this version, empty if this host read it from the platform itself.
+	from string
 	// graceUntil is the end of the time for which a deleted row is still returned by Rows, or zero.
 	graceUntil time.Time
 	// deletedAt is when this host received the deletion.
@@ -47,6 +49,8 @@
 type Row struct {
 	Value   []byte
 	Version uint64
+	// From is the host that sent this version, empty if this host read it from the platform itself.
+	From string
 }
 
 // Rows returns, by key, the rows that are present at the given time or in their grace period. next is the end of the first
@@ -64,7 +68,7 @@
 				next = r.graceUntil
 			}
 		}
-		rows[key] = Row{r.value, r.version}
+		rows[key] = Row{r.value, r.version, r.from}
 	}
 	return rows, next, t.version > 0
 }
@@ -101,6 +105,8 @@
 	age time.Duration
 	// sinceRecovery is the time since the end of the last outage; 0 if it is longer ago than expiryGrace.
 	sinceRecovery time.Duration
+	// from is the host that sent the rows, empty if this host read them from the platform itself.
+	from string
 }
 
 // merge applies the rows that are newer than the local ones and returns those that changed to a value that is not
@@ -117,7 +123,7 @@
 	listed := map[string]bool{}
 	for _, r := range u.rows {
 		listed[r.Key] = true
-		if t.mergeRow(r, now) {
+		if t.mergeRow(r, u.from, now) {
 			changed = append(changed, r)
 		}
 	}
@@ -141,7 +147,7 @@
 }
 
 // mergeRow applies one row and returns whether its value changed to one that is not equivalent. t.mu must be held.
-func (t *Table) mergeRow(r store.WatchedRow, now time.Time) bool {
+func (t *Table) mergeRow(r store.WatchedRow, from string, now time.Time) bool {
 	current := t.rows[r.Key]
 	if current != nil && current.version >= r.Version {
 		return false
@@ -150,7 +156,7 @@
 		return t.delete(r.Key, r.Version, now)
 	}
 	changed := current == nil || current.deleted || !t.equivalent(current.value, r.Value)
-	t.rows[r.Key] = &row{value: r.Value, version: r.Version}
+	t.rows[r.Key] = &row{value: r.Value, version: r.Version, from: from}
 	return changed
 }
 
@@ -235,9 +241,9 @@
 }
 
 // decodeUpdate converts a message of a peer.
-func decodeUpdate(m *peerv1.WatchedTable) update {
+func decodeUpdate(m *peerv1.WatchedTable, from string) update {
 	u := update{
-		version: m.GetVersion(), age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		from: from, version: m.GetVersion(), age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
 	for _, r := range m.GetRows() {
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -92,6 +92,18 @@
 	<-changed
 }
 
+// Guards against a late or outdated row whose way to this host cannot be told from the log.
+func TestRowsNameTheHostThatSentThem(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := newTable("t", equal)
+	table.merge(update{rows: []store.WatchedRow{put("a", "1", 1)}, version: 1}, now)
+	table.merge(update{rows: []store.WatchedRow{put("b", "1", 2)}, from: "h2"}, now)
+	rows, _, _ := table.Rows(now)
+	is.Equal(rows["a"].From, "")
+	is.Equal(rows["b"].From, "h2")
+}
+
 // Guards against a host that has no configuration until the next change. If peers push all rows while the host starts, its
 // first read completes the table but changes no row. After the loss of all hosts of deltafry-hitch, two of twenty hosts
 // refused all requests for 19 s for this reason, and no other host took over the service that they dispatched.
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -281,10 +281,11 @@
 		f.opts.Scope.Counter("ask_failures").Inc(1)
 		return
 	}
+	f.opts.Scope.Counter("fetched_bytes").Inc(int64(proto.Size(resp)))
 	now := time.Now()
 	for _, m := range resp.GetTables() {
 		if t := f.table(m.GetTable()); t != nil && m.GetVersion() > 0 {
-			t.merge(decodeUpdate(m), now)
+			t.merge(decodeUpdate(m, host.Host), now)
 		}
 	}
 }
@@ -320,7 +321,7 @@
 		return nil, steperr.Wrap(err, "decode pushed rows of a watched table", from.Host)
 	}
 	if t := f.table(push.GetTable().GetTable()); t != nil {
-		t.merge(decodeUpdate(push.GetTable()), time.Now())
+		t.merge(decodeUpdate(push.GetTable(), from.Host), time.Now())
 	}
 	return &peerv1.WatchedPushResponse{}, nil
 }
