Add a failing test of requests forwarded to a host with an older configuration

A host that receives a forwarded request looks up its rule again in its own configuration.

No logic changes.

--- /dev/null
+++ b/pkg/entry/forwarded_rule_test.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/config"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/peer"
+)
+
+// addRules returns a store whose configuration is that of ruleStore with more rules and a service "fresh".
+func addRules(rules ...*configv1.Rule) *config.Store {
+	objects := []*configv1.Object{
+		{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: "fresh", DefaultTimeoutMs: 5000}}},
+	}
+	for _, o := range ruleStore().Current().List("") {
+		if host := o.GetVirtualHost(); host != nil {
+			host.Rules = append(host.Rules, rules...)
+		}
+		objects = append(objects, o)
+	}
+	store := config.NewStore()
+	store.Set(config.NewSnapshot(2, objects))
+	return store
+}
+
+// newRule returns a rule for one service with two attempts.
+func newRule(prefix, service string, repeat configv1.Repeat) *configv1.Rule {
+	return &configv1.Rule{
+		Name: "new", PathPrefix: prefix, Repeat: repeat, TimeoutMs: 2000, Attempts: 2, LatencyMs: 500,
+		Class: configv1.RequestClass_REQUEST_CLASS_SHORT, Destinations: []*configv1.Destination{{Service: service, Weight: 1}},
+	}
+}
+
+// redirectToSecond returns a host with one target whose dispatcher redirects all requests, and the host that they are redirected to.
+// The first host has the newer configuration.
+func redirectToSecond(t *testing.T, newer, older *config.Store) (first, second *fixture) {
+	second = newFixture(t, 2, func(o *Options) {
+		o.Store = older
+		o.Self = peer.Identity{Host: "h2", Incarnation: 9}
+	})
+	first = newFixture(t, 1, func(o *Options) {
+		o.Store = newer
+		o.Permits = redirectingAcquirer{o.Permits}
+		o.FindRemote = func(domain string, _ []string) (Place, bool) {
+			return Place{FailureDomain: domain, Host: peer.Address{Host: "h2", Addr: "h2"}}, true
+		}
+	})
+	first.handler.opts.Forwarder = first.net
+	first.net.serve(t, "h2", second.handler.ForwardedHandler())
+	return first, second
+}
+
+// Guards against a request on a new route that is answered with 404, or handled by the older rule of the host that it is
+// forwarded to, because the configuration reaches the two hosts at different times.
+func TestForwardedRequestKeepsTheRuleOfTheFirstHost(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		rule      *configv1.Rule
+		older     *config.Store
+		loseFirst bool
+		status    int
+		// executed is the number of runs at the targets of the first and of the second host.
+		executed [2]int
+	}{
+		{"new route", newRule("/n/", "lookup", configv1.Repeat_REPEAT_IDEMPOTENT), ruleStore(), false, 200, [2]int{0, 1}},
+		{"new route below an older one", newRule("/r/n/", "lookup", configv1.Repeat_REPEAT_AT_MOST_ONCE), ruleStore(), true, 502, [2]int{0, 1}},
+		{"new service", newRule("/n/", "fresh", configv1.Repeat_REPEAT_IDEMPOTENT), ruleStore(), false, 200, [2]int{1, 0}},
+		{"no configuration", newRule("/n/", "lookup", configv1.Repeat_REPEAT_IDEMPOTENT), config.NewStore(), false, 200, [2]int{1, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				first, second := redirectToSecond(t, addRules(c.rule), c.older)
+				if c.loseFirst {
+					second.targets[0].SetFaults(target.Faults{LoseAnswer: true})
+				}
+				got := first.do("POST", c.rule.GetPathPrefix()+"a", "x")
+				is.NoErr(got.err)
+				is.Equal(got.status, c.status)
+				synctest.Wait()
+				is.Equal(first.targets[0].Report().Total, c.executed[0])
+				is.Equal(second.targets[0].Report().Total+second.targets[1].Report().Total, c.executed[1])
+			})
+		})
+	}
+}
