Apply the rule of the first host to a forwarded request

A command below the prefix of an idempotent rule could run twice.

Cause: a host that receives a forwarded request chose the rule again by host and path in its own configuration. The first host had decided the service only; timeout, attempts, repeatability, objective and the existence of the route came from the second one. Configurations spread without an order between hosts, so that one of them is always older for a moment.

Change: the first host sends its rule with the request (Rattanhitch-Rule). A host that lacks the service or any configuration is treated as unreachable: the request is served by the first host's targets, and its 404 never reaches a caller. Hosts of the version before ignore the header, and their 404 is handled as well.

--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/base64"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -10,8 +11,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
 // Headers of requests that hosts forward to each other. Headers with headerPrefix are removed from callers' requests and from
@@ -25,6 +28,8 @@
 	headerMode        = "Rattanhitch-Mode"
 	// headerObjective is the time, in milliseconds from the arrival of the request, after which the response counts as late.
 	headerObjective = "Rattanhitch-Objective"
+	// headerRule is the rule that the first host applies to the request, as a protobuf message in base64.
+	headerRule      = "Rattanhitch-Rule"
 	headerForwarded = "X-Forwarded-For"
 )
 
@@ -102,6 +107,8 @@
 	mode        mode
 	// objective is the time after which the response counts as late; zero without an objective.
 	objective time.Time
+	// rule is the rule that the forwarding host applies; nil if it applies none, or is too old to send it.
+	rule *configv1.Rule
 }
 
 // parseOrigin reads the origin of a forwarded request. It returns an error if a header is missing or invalid.
@@ -118,6 +125,13 @@
 		}
 		o.objective = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
+	if text := r.Header.Get(headerRule); text != "" {
+		rule, err := decodeRule(text)
+		if err != nil {
+			return nil, err
+		}
+		o.rule = rule
+	}
 	if o.requestID == "" || o.host == "" || o.incarnation == "" || o.service == "" {
 		return nil, errors.New("forwarded request without identity")
 	}
@@ -133,13 +147,36 @@
 	h.Set(headerIncarnation, o.incarnation)
 }
 
-// setOrigin sets the headers that identify this host and the request; they are read by parseOrigin.
-func (h *Handler) setOrigin(header http.Header, rq *request, id string, m mode) {
+func encodeRule(rule *configv1.Rule) (string, error) {
+	data, err := proto.Marshal(rule)
+	if err != nil {
+		return "", errors.Wrapf(err, "encode rule %s", rule.GetName())
+	}
+	return base64.StdEncoding.EncodeToString(data), nil
+}
+
+func decodeRule(text string) (*configv1.Rule, error) {
+	data, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode rule of a forwarded request")
+	}
+	rule := &configv1.Rule{}
+	return rule, errors.Wrap(proto.Unmarshal(data, rule), "decode rule of a forwarded request")
+}
+
+// setOrigin sets the headers that identify this host and the request, and the rule of the request. They are read by parseOrigin.
+func (h *Handler) setOrigin(header http.Header, rq *request, id string, m mode) error {
 	header.Set(reply.HeaderRequestID, id)
 	header.Set(headerHost, h.opts.Self.Host)
 	header.Set(headerIncarnation, strconv.FormatUint(h.opts.Self.Incarnation, 10))
 	header.Set(headerService, rq.name)
 	header.Set(headerMode, string(m))
+	if rq.rule == nil {
+		return nil
+	}
+	rule, err := encodeRule(rq.rule)
+	header.Set(headerRule, rule)
+	return err
 }
 
 // matchesForwarded reports whether the response repeats the identity of the forwarded request (see writeIdentity).
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -74,7 +74,13 @@
 		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
 		return nil, f
 	}
-	h.setOrigin(out.Header, rq, a.id, m)
+	if err := h.setOrigin(out.Header, rq, a.id, m); err != nil {
+		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
+		return nil, &failure{
+			status: http.StatusInternalServerError, reason: reply.ReasonInternal, notSent: true, retryScope: retryLocal,
+			err: steperr.Wrap(err, "forward request", to.Host),
+		}
+	}
 	if objective := rq.objective(); !objective.IsZero() {
 		remaining := time.Until(objective) - h.opts.RTT(to)
 		out.Header.Set(headerObjective, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
@@ -142,10 +148,19 @@
 	// On an unknown outcome the remote host has already used its own retries; retrying here would multiply them.
 	if f.mayHaveRun || refused.Reason == reply.ReasonPoison {
 		f.retryScope = retryNone
+	} else if lacksConfiguration(refused.Reason) {
+		f.status, f.reason, f.retryAfter = http.StatusServiceUnavailable, reply.ReasonNotReady, notReadyRetryAfter
+		f.retryScope = retryLocal
 	}
 	return nil, f
 }
 
+// lacksConfiguration reports whether another host refused a request because it has no configuration yet, or one without the
+// service. This host knows the service, so the caller must not be told that it does not exist.
+func lacksConfiguration(reason reply.Reason) bool {
+	return reason == reply.ReasonNotReady || reason == reply.ReasonUnknownService
+}
+
 // detachedContext returns a context that ends at the request's deadline but not when the caller disconnects.
 func detachedContext(rq *request) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(context.WithoutCancel(rq.in.Context()), rq.deadline)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -118,7 +118,7 @@
 func (rq *request) resolveService(s *config.Snapshot, from *origin) bool {
 	u := rq.in.URL
 	rq.path, rq.rawPath = u.Path, u.RawPath
-	if s.HasVirtualHosts() {
+	if s.HasVirtualHosts() || from != nil && from.rule != nil {
 		return rq.resolveRule(s, from)
 	}
 	if from != nil {
@@ -144,9 +144,13 @@
 }
 
 // resolveRule sets the virtual host's rule that matches the request and the service of one of its destinations. A forwarded
-// request keeps the destination that the first host picked.
+// request keeps the rule and the destination of the first host, because this host may have an older or a newer configuration.
 func (rq *request) resolveRule(s *config.Snapshot, from *origin) bool {
-	rq.rule, _ = s.Rule(strings.ToLower(hostOnly(rq.in.Host)), rq.path)
+	if from != nil && from.rule != nil {
+		rq.rule = from.rule
+	} else {
+		rq.rule, _ = s.Rule(strings.ToLower(hostOnly(rq.in.Host)), rq.path)
+	}
 	if rq.rule == nil {
 		return false
 	}
