Apply the route and the body limit of the first host to a forwarded request

Callers could see: a command that ran twice, or 413 for a body that the service allows, when a request without a rule was forwarded to a host whose configuration was older.

Change: the first host sends its route as well (Rattanhitch-Route); limits of bodies are applied by the first host alone.

--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"os"
@@ -92,9 +93,21 @@
 	return nil
 }
 
-// bodyLimit returns the maximum size of the body: the limit of the service, else of the configuration, else of this host. For a
-// recorded command it is at most maxCommandBytes.
+// bodyLimit returns the maximum size of the body. For a recorded command it is at most maxCommandBytes. The first host applies the
+// limits of the configuration; the host that it forwards the request to may have an older one, and applies none.
 func (h *Handler) bodyLimit(rq *request) int64 {
+	limit := int64(math.MaxInt64)
+	if !rq.forwarded {
+		limit = h.configuredBodyLimit(rq)
+	}
+	if rq.isRecordedCommand() {
+		limit = min(limit, maxCommandBytes)
+	}
+	return limit
+}
+
+// configuredBodyLimit returns the limit of the service, else of the configuration, else of this host.
+func (h *Handler) configuredBodyLimit(rq *request) int64 {
 	limit := int64(rq.service.GetMaxBodyBytes())
 	if limit <= 0 {
 		limit = int64(h.opts.Store.Current().RequestLimits().GetMaxBodyBytes())
@@ -102,9 +115,6 @@
 	if limit <= 0 {
 		limit = h.opts.Limits.MaxBodyBytes
 	}
-	if rq.isRecordedCommand() {
-		limit = min(limit, maxCommandBytes)
-	}
 	return limit
 }
 
--- a/pkg/entry/forwarded_rule_test.go
+++ b/pkg/entry/forwarded_rule_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -90,3 +91,42 @@
 		})
 	}
 }
+
+// Guards against a request without a rule that is handled by the older route or body limit of the host that it is forwarded to: a
+// command runs twice, or a body that the service allows is refused.
+func TestForwardedRequestKeepsTheRouteOfTheFirstHost(t *testing.T) {
+	const limit = 2 << 20
+	newer := config.NewStore()
+	newer.Set(config.NewSnapshot(2, []*configv1.Object{{Kind: &configv1.Object_Service{Service: &configv1.Service{
+		Name: "lookup", DefaultTimeoutMs: 5000, MaxBodyBytes: limit, Routes: []*configv1.Route{{PathPrefix: "/order", Command: true}},
+	}}}}))
+	for _, c := range []struct {
+		name, path, body string
+		loseFirst        bool
+		status, executed int
+	}{
+		{"new command route", "/lookup/order", "x", true, 502, 1},
+		{"route without command", "/lookup/read", "x", true, 200, 2},
+		{"larger body limit", "/lookup/read", strings.Repeat("x", limit), false, 200, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				second := newFixture(t, 2, func(o *Options) { o.Self = peer.Identity{Host: "h2", Incarnation: 9} })
+				first := newFixture(t, 0, func(o *Options) {
+					o.Store, o.Steerer, o.Commands = newer, fixedPlaces{atSecond}, directExecutor{}
+				})
+				first.handler.opts.Forwarder = first.net
+				first.net.serve(t, "h2", second.handler.ForwardedHandler())
+				if c.loseFirst {
+					second.targets[0].SetFaults(target.Faults{LoseAnswer: true})
+				}
+				got := first.do("PUT", c.path, c.body, "Idempotency-Key", "k")
+				is.NoErr(got.err)
+				is.Equal(got.status, c.status)
+				synctest.Wait()
+				is.Equal(second.targets[0].Report().Total+second.targets[1].Report().Total, c.executed)
+			})
+		})
+	}
+}
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/base64"
 	"net"
 	"net/http"
@@ -28,8 +29,10 @@
 	headerMode        = "Rattanhitch-Mode"
 	// headerObjective is the time, in milliseconds from the arrival of the request, after which the response counts as late.
 	headerObjective = "Rattanhitch-Objective"
-	// headerRule is the rule that the first host applies to the request, as a protobuf message in base64.
+	// headerRule and headerRoute are the rule and the route that the first host applies to the request, as protobuf messages in
+	// base64. An empty route means that the request matches none.
 	headerRule      = "Rattanhitch-Rule"
+	headerRoute     = "Rattanhitch-Route"
 	headerForwarded = "X-Forwarded-For"
 )
 
@@ -107,8 +110,9 @@
 	mode        mode
 	// objective is the time after which the response counts as late; zero without an objective.
 	objective time.Time
-	// rule is the rule that the forwarding host applies; nil if it applies none, or is too old to send it.
-	rule *configv1.Rule
+	// rule and route are those that the forwarding host applies; nil if it applies none, or is too old to send them.
+	rule  *configv1.Rule
+	route *configv1.Route
 }
 
 // parseOrigin reads the origin of a forwarded request. It returns an error if a header is missing or invalid.
@@ -125,12 +129,8 @@
 		}
 		o.objective = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
-	if text := r.Header.Get(headerRule); text != "" {
-		rule, err := decodeRule(text)
-		if err != nil {
-			return nil, err
-		}
-		o.rule = rule
+	if err := o.readPolicy(r.Header); err != nil {
+		return nil, err
 	}
 	if o.requestID == "" || o.host == "" || o.incarnation == "" || o.service == "" {
 		return nil, errors.New("forwarded request without identity")
@@ -147,36 +147,59 @@
 	h.Set(headerIncarnation, o.incarnation)
 }
 
-func encodeRule(rule *configv1.Rule) (string, error) {
-	data, err := proto.Marshal(rule)
+// readPolicy reads the rule and the route of a forwarded request.
+func (o *origin) readPolicy(h http.Header) error {
+	if text := h.Get(headerRule); text != "" {
+		o.rule = &configv1.Rule{}
+		if err := decodeMessage(text, o.rule); err != nil {
+			return errors.Wrap(err, "forwarded request with an invalid rule")
+		}
+	}
+	if len(h[headerRoute]) > 0 {
+		o.route = &configv1.Route{}
+		if err := decodeMessage(h.Get(headerRoute), o.route); err != nil {
+			return errors.Wrap(err, "forwarded request with an invalid route")
+		}
+	}
+	return nil
+}
+
+// setPolicy sets the headers that readPolicy reads.
+func (rq *request) setPolicy(h http.Header) error {
+	route, err := encodeMessage(cmp.Or(rq.route, &configv1.Route{}))
 	if err != nil {
-		return "", errors.Wrapf(err, "encode rule %s", rule.GetName())
+		return errors.Wrap(err, "encode route")
 	}
-	return base64.StdEncoding.EncodeToString(data), nil
+	h.Set(headerRoute, route)
+	if rq.rule == nil {
+		return nil
+	}
+	rule, err := encodeMessage(rq.rule)
+	h.Set(headerRule, rule)
+	return errors.Wrap(err, "encode rule")
+}
+
+func encodeMessage(m proto.Message) (string, error) {
+	data, err := proto.Marshal(m)
+	return base64.StdEncoding.EncodeToString(data), err
 }
 
-func decodeRule(text string) (*configv1.Rule, error) {
+func decodeMessage(text string, m proto.Message) error {
 	data, err := base64.StdEncoding.DecodeString(text)
 	if err != nil {
-		return nil, errors.Wrap(err, "decode rule of a forwarded request")
+		return err
 	}
-	rule := &configv1.Rule{}
-	return rule, errors.Wrap(proto.Unmarshal(data, rule), "decode rule of a forwarded request")
+	return proto.Unmarshal(data, m)
 }
 
-// setOrigin sets the headers that identify this host and the request, and the rule of the request. They are read by parseOrigin.
+// setOrigin sets the headers that identify this host and the request, its rule and its route. They are read by parseOrigin.
 func (h *Handler) setOrigin(header http.Header, rq *request, id string, m mode) error {
 	header.Set(reply.HeaderRequestID, id)
 	header.Set(headerHost, h.opts.Self.Host)
 	header.Set(headerIncarnation, strconv.FormatUint(h.opts.Self.Incarnation, 10))
 	header.Set(headerService, rq.name)
 	header.Set(headerMode, string(m))
-	if rq.rule == nil {
-		return nil
-	}
-	rule, err := encodeRule(rq.rule)
-	header.Set(headerRule, rule)
-	return err
+	return rq.setPolicy(header)
 }
 
 // matchesForwarded reports whether the response repeats the identity of the forwarded request (see writeIdentity).
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -122,8 +122,7 @@
 		return rq.resolveRule(s, from)
 	}
 	if from != nil {
-		rq.setService(s, from.service)
-		return rq.service != nil
+		return rq.setForwardedService(s, from)
 	}
 	segment, rest := splitSegment(u.Path)
 	if rq.setService(s, segment); rq.service != nil {
@@ -155,9 +154,18 @@
 		return false
 	}
 	if from != nil {
-		rq.setService(s, from.service)
-	} else {
-		rq.setService(s, pickDestination(rq.rule.GetDestinations()))
+		return rq.setForwardedService(s, from)
+	}
+	rq.setService(s, pickDestination(rq.rule.GetDestinations()))
+	return rq.service != nil
+}
+
+// setForwardedService sets the service and the route of a forwarded request and reports whether there is such a service. The route
+// is the one of the first host, unless that is too old to send it.
+func (rq *request) setForwardedService(s *config.Snapshot, from *origin) bool {
+	rq.setService(s, from.service)
+	if from.route != nil {
+		rq.route = from.route
 	}
 	return rq.service != nil
 }
