Count every change that another host sends, and send no unchanged rows

Callers could see: a target that becomes cold again and gets as many requests as a warm one.

Cause: a host that polls the reader of its domain compares the row with its own older copy. If a target has become cold again while its first cold start was not over, both copies show the same remaining time, and the change passes for the progress of the first one; the reader, which saw the rows between, knows better.

Change: a table keeps for each row the version of its last real change. Hosts send only rows that really changed, and the receiver counts each other value as a change.

The change was also expected to lower the traffic between zones.

--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -32,7 +33,9 @@
 type row struct {
 	value   []byte
 	version uint64
-	deleted bool
+	// changedVersion is the version of the last change to a value that is not equivalent; it is at most version.
+	changedVersion uint64
+	deleted        bool
 	// from is the host that sent this version, empty if this host read it from the platform itself.
 	from string
 	// graceUntil is the end of the time for which a deleted row is still returned by Rows, or zero.
@@ -146,7 +149,9 @@
 	return changed
 }
 
-// mergeRow applies one row and returns whether its value changed to one that is not equivalent. t.mu must be held.
+// mergeRow applies one row and returns whether its value changed to one that is not equivalent. A host sends a row only if it has
+// changed, so any other value from a host counts: the value that it is equivalent to may have been replaced in between. t.mu must
+// be held.
 func (t *Table) mergeRow(r store.WatchedRow, from string, now time.Time) bool {
 	current := t.rows[r.Key]
 	if current != nil && current.version >= r.Version {
@@ -155,9 +160,16 @@
 	if r.Deleted {
 		return t.delete(r.Key, r.Version, now)
 	}
-	changed := current == nil || current.deleted || !t.equivalent(current.value, r.Value)
-	t.rows[r.Key] = &row{value: r.Value, version: r.Version, from: from}
-	return changed
+	next := &row{value: r.Value, version: r.Version, changedVersion: r.Version, from: from}
+	t.rows[r.Key] = next
+	if current == nil || current.deleted {
+		return true
+	}
+	if bytes.Equal(current.value, r.Value) || from == "" && t.equivalent(current.value, r.Value) {
+		next.changedVersion = current.changedVersion
+		return false
+	}
+	return true
 }
 
 // deleteMissing deletes the rows up to a version that a full list lacks, and returns them. t.mu must be held.
@@ -180,14 +192,14 @@
 func (t *Table) delete(key string, version uint64, now time.Time) bool {
 	current := t.rows[key]
 	if current == nil {
-		t.rows[key] = &row{version: version, deleted: true, deletedAt: now}
+		t.rows[key] = &row{version: version, changedVersion: version, deleted: true, deletedAt: now}
 		return false
 	}
 	if current.deleted {
 		current.version = version
 		return false
 	}
-	current.version, current.deleted, current.deletedAt = version, true, now
+	current.version, current.changedVersion, current.deleted, current.deletedAt = version, version, true, now
 	if until := t.recoveredAt.Add(expiryGrace); !t.recoveredAt.IsZero() && until.After(now) {
 		current.graceUntil = until
 	}
@@ -203,7 +215,8 @@
 	}
 }
 
-// rowsSince returns a message with the rows and tombstones that are newer than a version.
+// rowsSince returns a message with the rows and tombstones that have changed since a version. It leaves out rows that got
+// equivalent values, which are most of them: programs update their rows all the time.
 func (t *Table) rowsSince(after uint64, now time.Time) *peerv1.WatchedTable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -211,7 +224,7 @@
 		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
 	}
 	for key, r := range t.rows {
-		if r.version > after {
+		if r.changedVersion > after {
 			m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: key, Value: r.value, Version: r.version, Deleted: r.deleted})
 		}
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -92,6 +92,49 @@
 	<-changed
 }
 
+// Guards against a reader whose link and processor are used up by heartbeats: hosts poll it for changes several times a second, and
+// heartbeats update most rows between two polls.
+func TestHeartbeatsAreNotSentToOtherHosts(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := newTable("t", func(a, b []byte) bool { return a[0] == b[0] })
+	table.merge(update{rows: []store.WatchedRow{put("a", "x1", 1), put("b", "x1", 2)}, version: 2}, now)
+	table.merge(update{rows: []store.WatchedRow{put("a", "x2", 3), put("b", "x2", 4)}, version: 4}, now)
+	m := table.rowsSince(2, now)
+	is.Equal(m.GetVersion(), uint64(4))
+	is.Equal(len(m.GetRows()), 0)
+
+	table.merge(update{rows: []store.WatchedRow{put("a", "y3", 5), put("b", "x3", 6)}, version: 6}, now)
+	m = table.rowsSince(4, now)
+	is.Equal(len(m.GetRows()), 1)
+	is.Equal(m.GetRows()[0].GetKey(), "a")
+	is.Equal(len(table.rowsSince(0, now).GetRows()), 2) // a host without a copy gets all rows
+}
+
+// Guards against a change that a host takes for a heartbeat because it has not received the rows between its copy and the change:
+// here a target that becomes cold again while it is still cold.
+func TestChangesSentByHostsCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	notRising := func(a, b []byte) bool { return b[0] <= a[0] }
+	reader, other := newTable("t", notRising), newTable("t", notRising)
+	step := func(value string, version uint64) {
+		reader.merge(update{rows: []store.WatchedRow{put("a", value, version)}, version: version}, now)
+	}
+	step("3 at 0", 1)
+	other.merge(decodeUpdate(reader.rowsSince(0, now), "h1"), now)
+	step("1 at 2", 2)
+	step("3 at 3", 3)
+	changed := other.Changed()
+	other.merge(decodeUpdate(reader.rowsSince(1, now), "h1"), now)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("the change was taken for a heartbeat")
+	}
+	is.Equal(values(other, now), map[string]string{"a": "3 at 3"})
+}
+
 // Guards against a late or outdated row whose way to this host cannot be told from the log.
 func TestRowsNameTheHostThatSentThem(t *testing.T) {
 	is := is.New(t)
