Limit the informational responses that precede a response

Callers saw: a request that waits for its deadline, while a core reads what its target sends.

Cause: each informational (1xx) response got a new limit of 256 kB, so that a target which sends them without end was read until the deadline. The limits of the status line and of the header held.

Change: one limit for the header and all informational responses before it.

--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maxHeaderBytes limits the header of a response.
+	// maxHeaderBytes limits the header of a response, together with the informational responses before it.
 	maxHeaderBytes = 256 << 10
 	// maxMismatched limits the responses that are read for one request, and maxMismatchedBytes the body of each one that is
 	// skipped because it belongs to another request.
@@ -151,10 +151,10 @@
 
 // readResponse returns the next response after skipping informational (1xx) ones. Its body reads from the connection.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.limitedReader.N = maxHeaderBytes
+	defer func() { c.limitedReader.N = math.MaxInt64 }()
 	for {
-		c.limitedReader.N = maxHeaderBytes
 		resp, err := http.ReadResponse(c.reader, req)
-		c.limitedReader.N = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
