Limit the time for reading the body of a refused attempt

Callers saw: 503 or 502 at the deadline although another target was free, when a target announced a body with its refusal (or its status 500) and sent it without end or not at all.

Cause: the body of a response that is discarded was read up to 4 kB so that the connection can be reused, without a limit of time. The next attempt waited for it, until no time was left.

Change: after 50 ms the connection is closed instead.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -21,8 +21,12 @@
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// maxDrainBytes limits how much of a discarded response is read so that its connection can be reused.
-const maxDrainBytes = 4 << 10
+// maxDrainBytes and drainTimeout limit how much of a discarded response is read so that its connection can be reused, and for how
+// long the next attempt waits for that.
+const (
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
 
 var (
 	errHedgeLost = errors.New("the other attempt of the hedged request answered first")
@@ -283,6 +287,8 @@
 
 // drainAndClose discards a response. It reads a short body to its end so that the connection can be reused.
 func drainAndClose(resp *http.Response) {
+	timeout := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
+	defer timeout.Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 	_ = resp.Body.Close()
 }
--- /dev/null
+++ b/pkg/entry/endless_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+)
+
+// Guards against a request that is not retried before its deadline because a target announces a body with its refusal and never
+// completes it.
+func TestRefusalWithABodyWithoutEndIsRetriedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		status  int
+		endless bool
+	}{
+		{"not run, silent", 503, false}, {"not run, endless", 503, true}, {"failed, silent", 500, false}, {"failed, endless", 500, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newRuleFixture(t, 2, nil)
+				released := make(chan struct{})
+				w.net.serve(t, "t0", http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+					defer close(released)
+					if c.status == 503 {
+						out.Header().Set("Rattanhitch-Outcome", "not-run")
+					}
+					out.WriteHeader(c.status)
+					_ = http.NewResponseController(out).Flush()
+					for c.endless {
+						if _, err := io.WriteString(out, "x"); err != nil {
+							return
+						}
+						if http.NewResponseController(out).Flush() != nil {
+							return
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+					<-r.Context().Done()
+				}))
+				start := time.Now()
+				got := w.do("GET", "/r/a", "")
+				is.NoErr(got.err)
+				is.Equal(got.status, 200)
+				is.True(time.Since(start) < 500*time.Millisecond) // the latency objective of the rule
+				<-released                                        // the connection to the first target is closed
+				synctest.Wait()
+				is.Equal(w.permits.open, 0)
+			})
+		})
+	}
+}
+
+// Guards against a response without end that is kept in memory, that outlasts the timeout of its rule, or that looks complete when it
+// is cut off.
+func TestResponseWithoutEndIsCutOffAtTheTimeout(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newRuleFixture(t, 1, nil)
+		sent := 0
+		released := make(chan struct{})
+		w.net.serve(t, "t0", http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+			defer close(released)
+			block := make([]byte, copyBufferBytes)
+			for {
+				n, err := out.Write(block)
+				sent += n
+				if err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}))
+		start := time.Now()
+		resp, err := w.client.Get("http://entry/r/a")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		time.Sleep(time.Second) // the caller does not read yet
+		n, err := io.Copy(io.Discard, resp.Body)
+		is.True(err != nil) // without the end of a chunked body
+		is.True(time.Since(start) < 2100*time.Millisecond)
+		<-released
+		synctest.Wait()
+		is.True(sent-int(n) < 4*prefetchBytes) // bytes that were read from the target but not written to the caller
+		is.Equal(w.permits.open, 0)
+	})
+}
