Send no position with rows that lack old deletions

Operators could see: a host that was paused or cut off for more than a minute keeps an evacuation that was taken back, or targets that are gone, until it restarts.

Cause: hosts keep the tombstones of deleted rows for a minute. A host that asked another one for the changes since an older version got the newer rows with the newest version, and took its copy for complete.

Change: if a tombstone after the requested version was removed, the answer has no version. The receiver merges the rows, keeps its position, and so reads the deletions, or the whole table, from the platform.

--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -23,6 +23,8 @@
 	// rows includes tombstones.
 	rows    map[string]*row
 	version uint64
+	// purgedVersion is the newest version of a tombstone that was removed.
+	purgedVersion uint64
 	// readAt is the latest time at which the platform is known to have had no version newer than version.
 	readAt time.Time
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
@@ -210,19 +212,24 @@
 func (t *Table) purgeTombstones(now time.Time) {
 	for key, r := range t.rows {
 		if r.deleted && now.Sub(r.deletedAt) > tombstoneRetention {
+			t.purgedVersion = max(t.purgedVersion, r.version)
 			delete(t.rows, key)
 		}
 	}
 }
 
 // rowsSince returns a message with the rows and tombstones that have changed since a version. It leaves out rows that got
-// equivalent values, which are most of them: programs update their rows all the time.
+// equivalent values, which are most of them: programs update their rows all the time. If tombstones after that version are missing,
+// the message has no version, so that the receiver reads the deletions from the platform.
 func (t *Table) rowsSince(after uint64, now time.Time) *peerv1.WatchedTable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &peerv1.WatchedTable{
 		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
 	}
+	if after > 0 && after < t.purgedVersion {
+		m.Version, m.AgeMs = 0, 0
+	}
 	for key, r := range t.rows {
 		if r.changedVersion > after {
 			m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: key, Value: r.value, Version: r.version, Deleted: r.deleted})
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -75,6 +75,28 @@
 	is.Equal(values(table, later), map[string]string{})
 }
 
+// Guards against a host that keeps deleted rows for good after it was paused or cut off for longer than tombstones are kept: its
+// evacuated zone stays evacuated, or targets that are gone stay in use.
+func TestDeletionsReachHostsThatWereAwayLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	reader, away := newTable("t", equal), newTable("t", equal)
+	rows := update{rows: []store.WatchedRow{put("a", "1", 1), put("b", "1", 2)}, version: 2, full: true}
+	reader.merge(rows, now)
+	away.merge(rows, now)
+	reader.merge(update{rows: []store.WatchedRow{{Key: "a", Version: 3, Deleted: true}}, version: 3}, now)
+	later := now.Add(2 * tombstoneRetention)
+	reader.merge(update{rows: []store.WatchedRow{put("c", "1", 4)}, version: 4}, later)
+	away.merge(decodeUpdate(reader.rowsSince(away.position(), later), "h1"), later)
+	if _, kept := values(away, later)["a"]; kept {
+		is.Equal(away.position(), uint64(2)) // the next read of the platform tells the deletion
+	}
+	is.Equal(values(away, later)["c"], "1") // until then the host has at least the newer rows
+	fresh := newTable("t", equal)
+	fresh.merge(decodeUpdate(reader.rowsSince(0, later), "h1"), later)
+	is.Equal(fresh.position(), uint64(4)) // a host without rows needs no deletions
+}
+
 // Guards against signalling a change for each heartbeat that updates a row.
 func TestHeartbeatsAreNoChange(t *testing.T) {
 	is := is.New(t)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -284,7 +284,7 @@
 	f.opts.Scope.Counter("fetched_bytes").Inc(int64(proto.Size(resp)))
 	now := time.Now()
 	for _, m := range resp.GetTables() {
-		if t := f.table(m.GetTable()); t != nil && m.GetVersion() > 0 {
+		if t := f.table(m.GetTable()); t != nil {
 			t.merge(decodeUpdate(m, host.Host), now)
 		}
 	}
