Let the last host of a failure domain hold its caps while it leaves

Cause: a leaving host is not in the list of live hosts of its domain. If it was the last one, the caps of the domain had no holder, and its responses over a capped link waited for budget until the deadline: the line of the stopping host has status 200, and "broke off".

Change: such a host stays the holder. It still counts itself among the hosts of which a majority must support it, and a host that starts in its domain takes the caps over as before.

Evidence: TestReadsEndWhileTheLastHostStops (two hosts, a link with a cap, a read in progress while SIGTERM's stop begins) failed before with 504 after 10 s, and passes; TestLastHostOfADomainKeepsItsCapsWhileItLeaves failed with the deadline exceeded, and passes.

--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -50,12 +50,23 @@
 // domain is known.
 func (b *Budget) holder(capName, failureDomain string) (membership.Member, bool) {
 	var hosts []string
-	for _, m := range b.opts.View.Domain(failureDomain) {
+	for _, m := range b.domainHosts(failureDomain) {
 		hosts = append(hosts, m.Host)
 	}
 	return b.opts.View.Lookup(rendezvous.Owner("budget/"+capName+"/"+failureDomain, hosts))
 }
 
+// domainHosts returns the hosts of a failure domain that may hold its caps. Leaving hosts are left out, except this host if it is
+// the last one of its domain: the responses that it still serves need budget.
+func (b *Budget) domainHosts(failureDomain string) []membership.Member {
+	hosts := b.opts.View.Domain(failureDomain)
+	self := b.opts.View.Self()
+	if len(hosts) == 0 && failureDomain == self.FailureDomain {
+		return []membership.Member{self}
+	}
+	return hosts
+}
+
 // handleSupport handles the support call: it grants the sender a support lease unless another holder has one.
 func (b *Budget) handleSupport(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	req := &peerv1.SupportRequest{}
@@ -91,7 +102,7 @@
 // the known hosts grants it.
 func (b *Budget) renew(c Cap) {
 	requestedAt := time.Now()
-	members := b.opts.View.Domain(b.opts.View.Self().FailureDomain)
+	members := b.domainHosts(b.opts.View.Self().FailureDomain)
 	answers := make(chan bool, len(members))
 	for _, m := range members {
 		go func() { answers <- b.requestSupport(m, c.Name) }()
@@ -160,15 +171,16 @@
 }
 
 // knownHosts returns the number of hosts of the failure domain that were live within hostRetention, at least MinHosts. Counting
-// hosts that are no longer live prevents a majority on both sides of a network partition; hosts that announced their leave
+// hosts that are no longer live prevents a majority on both sides of a network partition; other hosts that announced their leave
 // are not counted. b.mu must be held.
 func (b *Budget) knownHosts(now time.Time) int {
-	for _, m := range b.opts.View.Domain(b.opts.View.Self().FailureDomain) {
+	self := b.opts.View.Self()
+	for _, m := range b.domainHosts(self.FailureDomain) {
 		b.lastSeen[m.Host] = now
 	}
 	for host, at := range b.lastSeen {
 		m, ok := b.opts.View.Lookup(host)
-		leaving := ok && m.State == membership.StateLeaving
+		leaving := ok && m.State == membership.StateLeaving && host != self.Host
 		if leaving || now.Sub(at) > hostRetention {
 			delete(b.lastSeen, host)
 		}
--- /dev/null
+++ b/pkg/budget/leave_test.go
@@ -0,0 +1,67 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/pkg/membership"
+	"github.com/rattanhitch/rattanhitch/pkg/peer"
+)
+
+// soleView is the membership.View of a host that is alone in its failure domain. A leaving host is not in its own Domain.
+type soleView struct{ self membership.Member }
+
+func (v *soleView) Self() membership.Member  { return v.self }
+func (v *soleView) All() []membership.Member { return []membership.Member{v.self} }
+func (v *soleView) Changed() <-chan struct{} { return nil }
+func (v *soleView) Domain(string) []membership.Member {
+	if v.self.State == membership.StateLeaving {
+		return nil
+	}
+	return v.All()
+}
+
+func (v *soleView) Lookup(host string) (membership.Member, bool) {
+	return v.self, host == v.self.Host
+}
+
+// noPeers is a peer.Registrar and a peer.Caller without other hosts.
+type noPeers struct{}
+
+func (noPeers) Handle(string, peer.Handler) {}
+
+func (noPeers) Call(context.Context, peer.Address, string, proto.Message, proto.Message) error {
+	return errors.New("there is no other host")
+}
+
+// Guards against responses that wait for budget until their deadline because their host is the last one of its failure domain and
+// leaves: nobody held the caps of the domain then, and forwarded reads ended with 504 after 10 s.
+func TestLastHostOfADomainKeepsItsCapsWhileItLeaves(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		c := testCap(200)
+		c.Unit = UnitMegabits
+		view := &soleView{membership.Member{Host: "x0", FailureDomain: "x", PeerAddress: "x0", State: membership.StateAlive}}
+		b := New(Options{
+			View: view, Caller: noPeers{}, Registrar: noPeers{}, Cap: func(string) (Cap, bool) { return c, true }, MinHosts: 1,
+		})
+		defer b.Close()
+		p := NewPacer(b, func(string) (string, bool) { return "c", true })
+		time.Sleep(supportTTL)
+		for _, state := range []membership.State{membership.StateAlive, membership.StateLeaving} {
+			view.self.State = state
+			for range 10 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				is.NoErr(p.Pace(ctx, "remote", 16<<10))
+				cancel()
+				time.Sleep(time.Second) // several terms of a support lease
+			}
+		}
+	})
+}
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -76,6 +76,29 @@
 	is.Equal(f.request("h2", http.MethodGet, "/tides/x").status, http.StatusOK)
 }
 
+// Guards against a read that another region forwarded and that ends only at its deadline, because the last host of a failure domain
+// begins to stop before the target answers.
+func TestReadsEndWhileTheLastHostStops(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.startHost("h1", "d1", "r1")
+	f.startHost("h2", "d2", "r2")
+	f.waitMembers()
+	link := &configv1.Link{Name: "r2-r1", FromRegion: "r2", ToRegion: "r1", MbitPerSecond: 4000}
+	f.commit("h1", place("d1", "r1"), place("d2", "r2"), service("tides"), f.startTarget("t2", "tides", "d2", 4),
+		&configv1.Object{Kind: &configv1.Object_Link{Link: link}})
+	f.waitFor("a forwarded read", func() bool { return f.request("h1", http.MethodGet, "/tides/x").status == http.StatusOK })
+	read := make(chan outcome)
+	start := time.Now()
+	go func() { read <- f.request("h1", http.MethodGet, "/tides/x?work=700ms") }()
+	f.waitFor("the read at the second host", func() bool { return f.inFlight(f.hosts["h2"]) == 1 })
+	is.NoErr(f.stopHost("h2"))
+	got := <-read
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.True(time.Since(start) < 5*time.Second) // half of its timeout
+}
+
 // Guards against requests that fail during a platform outage although they do not need the platform. Reads and tickets must
 // work; a command with a caller's own key needs the platform and must be refused with the outcome not-run.
 func TestPlatformOutage(t *testing.T) {
