Name the only alive host in the answers to callers

Callers saw: an answer without addresses, which counts as a failure, while exactly one host was alive.

Cause: a search that found fewer than two alive hosts went on to the suspect ones and dropped what it had found. With one alive host and no suspect one the result was empty.

Change: the last group of the search is all alive and suspect hosts.

Evidence: TestSingleAliveHostIsFound failed before (0 hosts instead of 1, 1 instead of 2) and passes.

--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -13,7 +13,7 @@
 
 // Nearest returns up to limit hosts for a caller whose failure domain is place and whose region is region. It considers the
 // alive hosts of the failure domain, then of the region, then of all regions, and stops at the first group of at least
-// minNearby hosts. If no group is large enough, it considers the suspect hosts instead; leaving and dead ones are never
+// minNearby hosts. If no group is large enough, it considers all alive and suspect hosts; leaving and dead ones are never
 // returned. The order is random, weighted by the processor time (Capacity) of the hosts, so that larger hosts get more
 // callers.
 func Nearest(members []membership.Member, place, region string, limit int) []membership.Member {
@@ -21,7 +21,9 @@
 		func(m membership.Member) bool { return m.State == membership.StateAlive && m.Place == place },
 		func(m membership.Member) bool { return m.State == membership.StateAlive && m.Region == region },
 		func(m membership.Member) bool { return m.State == membership.StateAlive },
-		func(m membership.Member) bool { return m.State == membership.StateSuspect },
+		func(m membership.Member) bool {
+			return m.State == membership.StateAlive || m.State == membership.StateSuspect
+		},
 	}
 	var candidates []membership.Member
 	for _, filter := range filters {
--- a/pkg/lookup/nearest_test.go
+++ b/pkg/lookup/nearest_test.go
@@ -42,6 +42,18 @@
 	is.Equal(len(Nearest(testHosts("a", "north", 2, membership.StateSuspect), "a", "north", 10)), 2)
 }
 
+// Guards against an empty result, which callers take for a failed lookup, while a single host is alive: after all others were lost, or
+// while they are suspect.
+func TestSingleAliveHostIsFound(t *testing.T) {
+	is := is.New(t)
+	alive := testHosts("a", "north", 1, membership.StateAlive)
+	is.Equal(len(Nearest(alive, "a", "north", 10)), 1)
+	is.Equal(len(Nearest(alive, "c", "south", 10)), 1)
+	one := append(testHosts("b", "north", 1, membership.StateSuspect), alive...)
+	is.Equal(len(Nearest(one, "a", "north", 10)), 2)
+	is.Equal(len(Nearest(append(testHosts("b", "north", 3, membership.StateDead), alive...), "a", "north", 10)), 1)
+}
+
 // Guards against a selection that ignores Capacity, so that small hosts get as many callers as large ones.
 func TestLargeHostsGetMoreCallers(t *testing.T) {
 	is := is.New(t)
