Reserve the slots of silent hosts until their deadlines

Callers could see: targets with more requests than slots after a failover, when a host was only cut off and went on with its requests.

Cause: the deadlines of a silent host's permits are relative to now, but were added to the time at which the host was first seen dead. A dispatcher that started some seconds later freed the reserved slots by as many seconds too early.

Change: the deadlines are added to now. The time of death is no longer recorded. The cluster of the tests returned deadlines relative to the heartbeat, which hid the fault and would now reserve slots for too long; it returns them relative to the call, as the interface states and the daemon does. The bound on slots that its random tests check is the same.

--- /dev/null
+++ b/pkg/permit/bookkeeping_test.go
@@ -0,0 +1,27 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+)
+
+// Guards against slots that are granted twice: the permits of a host that does not respond stay reserved until their deadlines, even
+// if the host was seen dead long before the dispatcher started.
+func TestReservationsLastUntilTheDeadlines(t *testing.T) {
+	is := is.New(t)
+	const left = 10 * time.Second
+	now := time.Now()
+	m := &Manager{opts: Options{LastReportedPermits: func(string) []*peerv1.HeldPermits {
+		return []*peerv1.HeldPermits{{Service: "s", Target: "t", Count: 2, LatestDeadlineMs: uint32(left.Milliseconds())}}
+	}}}
+	d := &dispatcher{service: "s", slots: newSlotTable(), manager: m}
+	d.reserve(&follower{holder: holder{host: "h2", incarnation: 1}})
+	is.Equal(len(d.slots.permits), 2)
+	for _, p := range d.slots.permits {
+		is.True(!p.expires.Before(now.Add(left)))
+	}
+}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -28,8 +28,7 @@
 	// FailureDomain is the failure domain of this host.
 	FailureDomain string
 	// LastReportedPermits returns the permits in a host's last heartbeat, for which slots are reserved if the host does not
-	// respond to a recover call. The deadlines are interpreted relative to the time of the call. Returning deadlines relative
-	// to the heartbeat is safe: the slots are only reserved for longer.
+	// respond to a recover call. The deadlines are relative to the time of the call.
 	LastReportedPermits func(host string) []*peerv1.HeldPermits
 	// DomainLoads returns the slots and the demand of a service in the other failure domains, as far as they are known. It may
 	// be nil.
@@ -81,8 +80,8 @@
 	dispatchers  map[string]*dispatcher
 	clientStates map[string]*clientState
 	// knownHosts holds the hosts of this failure domain that the membership view has a record of, dead ones included, because a
-	// dead host may still hold permits. The value is when the host was first seen dead, or zero.
-	knownHosts map[string]time.Time
+	// dead host may still hold permits.
+	knownHosts map[string]bool
 	// backoffs holds the restart backoff of superseded dispatchers by dispatcher key.
 	backoffs map[string]restartBackoff
 	// wake triggers reconcileDispatchers when a backoff ends.
@@ -119,7 +118,7 @@
 	m := &Manager{
 		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll, scope: scope, acquired: newAcquireMetrics(scope),
 		dispatchers: map[string]*dispatcher{}, clientStates: map[string]*clientState{},
-		knownHosts: map[string]time.Time{o.View.Self().Host: {}}, backoffs: map[string]restartBackoff{},
+		knownHosts: map[string]bool{o.View.Self().Host: true}, backoffs: map[string]restartBackoff{},
 		wake: make(chan struct{}, 1),
 	}
 	o.Registrar.Handle(methodAcquire, m.handleAcquire)
@@ -212,23 +211,18 @@
 	return list
 }
 
-// updateKnownHosts updates knownHosts from the membership view: it adds hosts, records when they died, and removes those that
-// the view no longer holds.
+// updateKnownHosts updates knownHosts from the membership view: it adds hosts and removes those that the view no longer holds.
 func (m *Manager) updateKnownHosts() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, member := range m.opts.View.All() {
 		if member.FailureDomain == m.opts.FailureDomain {
-			m.knownHosts[member.Host] = time.Time{}
+			m.knownHosts[member.Host] = true
 		}
 	}
-	for host, died := range m.knownHosts {
-		member, ok := m.opts.View.Lookup(host)
-		switch {
-		case !ok && host != m.self.Host:
+	for host := range m.knownHosts {
+		if _, ok := m.opts.View.Lookup(host); !ok && host != m.self.Host {
 			delete(m.knownHosts, host) // membership drops dead hosts long after their last permit has expired
-		case ok && member.State == membership.StateDead && died.IsZero():
-			m.knownHosts[host] = time.Now()
 		}
 	}
 }
@@ -250,17 +244,6 @@
 	return list
 }
 
-// latestHeartbeatTime returns an upper bound on the arrival of a host's last heartbeat: the time when the host was first seen
-// dead, or else now.
-func (m *Manager) latestHeartbeatTime(host string) time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if died := m.knownHosts[host]; !died.IsZero() {
-		return died
-	}
-	return time.Now()
-}
-
 // startDispatcher starts a dispatcher with a new term, unless one is running or its restart backoff has not ended.
 func (m *Manager) startDispatcher(service string) {
 	if m.dispatcher(service) != nil || m.inBackoff(service) {
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
@@ -299,7 +301,7 @@
 	return h.loads
 }
 
-// LastReportedPermits returns the permits that a host reported in the last heartbeat received from it.
+// LastReportedPermits returns the permits that a host reported in the last heartbeat received from it, with deadlines relative to now.
 func (h *Host) LastReportedPermits(host string) []*peerv1.HeldPermits {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -307,7 +309,16 @@
 	if p == nil {
 		return nil
 	}
-	return p.held
+	age := uint32(time.Since(p.receivedAt).Milliseconds())
+	var list []*peerv1.HeldPermits
+	for _, held := range p.held {
+		if held.GetLatestDeadlineMs() > age {
+			left := proto.CloneOf(held)
+			left.LatestDeadlineMs -= age
+			list = append(list, left)
+		}
+	}
+	return list
 }
 
 func compareNames(a, b membership.Member) int {
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -172,22 +172,22 @@
 // reservation for the host.
 func (d *dispatcher) reserve(f *follower) {
 	f.attempted = true
-	f.reservedAt = time.Now()
+	now, id := time.Now(), uint64(0)
+	f.reservedAt = now
 	d.freeReservations(f.holder)
 	if d.manager.opts.LastReportedPermits == nil {
 		return
 	}
-	lastHeartbeat, id := d.manager.latestHeartbeatTime(f.holder.host), uint64(0)
 	for _, h := range d.manager.opts.LastReportedPermits(f.holder.host) {
 		if h.GetService() != d.service {
 			continue
 		}
-		expires := lastHeartbeat.Add(time.Duration(h.GetLatestDeadlineMs())*time.Millisecond + expiryGrace)
+		expires := now.Add(time.Duration(h.GetLatestDeadlineMs())*time.Millisecond + expiryGrace)
 		for range h.GetCount() {
 			id++
 			d.slots.occupy(&permit{
 				key: permitKey{reservationID(f.holder), id}, target: d.slots.target(h.GetTarget()), holder: f.holder,
-				granted: lastHeartbeat, expires: expires,
+				granted: now, expires: expires,
 			})
 		}
 	}
