Stop waiting for a target when all requests are refused

Callers could see: requests that are refused or sent to a slower target although the target that has their object cached is free.

Cause: each target counts the requests that wait for it. When a service lost all its targets for a moment, its waiting requests were refused without lowering the counts, which stayed too high for the rest of the dispatcher's life.

Change: refuseAll ends the wait of each request.

Evidence: TestRefusedRequestsAwaitNoTarget failed before (1 instead of 0) and passes.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -101,6 +101,7 @@
 // refuseAll refuses all waiting requests.
 func (d *dispatcher) refuseAll(reason peerv1.RefusalReason, retryAfter time.Duration) {
 	for _, w := range d.objectiveWaiters {
+		w.stopAwaiting()
 		w.result <- answer{refusal: newRefusal(reason, retryAfter)}
 	}
 	d.objectiveWaiters = nil
--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -25,3 +25,16 @@
 		is.True(!p.expires.Before(now.Add(left)))
 	}
 }
+
+// Guards against a target that counts as busier than it is for the rest of the dispatcher's life: requests that waited for it were
+// refused together, when no target was left for a moment.
+func TestRefusedRequestsAwaitNoTarget(t *testing.T) {
+	is := is.New(t)
+	awaited := &target{name: "t"}
+	w := &waiter{result: make(chan answer, 1), awaitedTarget: awaited}
+	awaited.awaitingWaiters = 1
+	d := &dispatcher{service: "s", slots: newSlotTable(), objectiveWaiters: []*waiter{w}}
+	d.refuseAll(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, time.Second)
+	is.Equal((<-w.result).refusal.Reason, peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET)
+	is.Equal(awaited.awaitingWaiters, 0)
+}
