Bound a fast observation of a target's speed like a slow one

Cause: the lower bound of one observation was the integer division 1/4, that is 0, so that a request that ended at once lowered the estimate of its target by a quarter instead of 19%.

Change: 1.0/maxResidual.

Figures: TestOneFastAnswerCountsLittle failed before (0.750 instead of 0.8125).

--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -38,3 +38,14 @@
 	is.Equal((<-w.result).refusal.Reason, peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET)
 	is.Equal(awaited.awaitingWaiters, 0)
 }
+
+// Guards against one request that ends at once, for example with an error page, and makes its target look much faster than it is.
+func TestOneFastAnswerCountsLittle(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var fast, fastest speed
+	fast.observe(1.0/maxResidual, now)
+	fastest.observe(1.0/1000, now)
+	is.Equal(fastest.currentResidual(now), fast.currentResidual(now))
+	is.True(fast.currentResidual(now) > 0.8)
+}
--- a/pkg/permit/service_time.go
+++ b/pkg/permit/service_time.go
@@ -171,7 +171,7 @@
 // observe adds a request that took ratio times as long as expected to the residual slowdown.
 func (s *speed) observe(ratio float64, now time.Time) {
 	residual := s.currentResidual(now)
-	s.residual = residual + residualWeight*(min(max(ratio, 1/maxResidual), maxResidual)-residual)
+	s.residual = residual + residualWeight*(min(max(ratio, 1.0/maxResidual), maxResidual)-residual)
 	s.residualAt = now
 }
 
