Let the last host of a failure domain dispatch while it leaves, and play planned work in overlapping series

Callers saw: 504 after their whole timeout for a service that is served by one failure domain only, when the last host of that domain began to stop and did not run the service's dispatcher yet. What can't be served has to be refused at once.

Change: membership.Owners, used by permit and budget: the hosts that may own shared state, which is this host alone if it leaves as the last one. TestPlannedWorkCutsNobodyOff plays stops and restarts of all hosts beside changes of the configuration on real processes, with callers that use a connection until it ends; SOAK_SEED selects the series. The test cluster of pkg/permit can leave.

Evidence: TestLastHostDispatchesWhileItLeaves failed before (no dispatcher) and passes.

--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -50,23 +50,12 @@
 // domain is known.
 func (b *Budget) holder(capName, failureDomain string) (membership.Member, bool) {
 	var hosts []string
-	for _, m := range b.domainHosts(failureDomain) {
+	for _, m := range membership.Owners(b.opts.View, failureDomain) {
 		hosts = append(hosts, m.Host)
 	}
 	return b.opts.View.Lookup(rendezvous.Owner("budget/"+capName+"/"+failureDomain, hosts))
 }
 
-// domainHosts returns the hosts of a failure domain that may hold its caps. Leaving hosts are left out, except this host if it is
-// the last one of its domain: the responses that it still serves need budget.
-func (b *Budget) domainHosts(failureDomain string) []membership.Member {
-	hosts := b.opts.View.Domain(failureDomain)
-	self := b.opts.View.Self()
-	if len(hosts) == 0 && failureDomain == self.FailureDomain {
-		return []membership.Member{self}
-	}
-	return hosts
-}
-
 // handleSupport handles the support call: it grants the sender a support lease unless another holder has one.
 func (b *Budget) handleSupport(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	req := &peerv1.SupportRequest{}
@@ -102,7 +91,7 @@
 // the known hosts grants it.
 func (b *Budget) renew(c Cap) {
 	requestedAt := time.Now()
-	members := b.domainHosts(b.opts.View.Self().FailureDomain)
+	members := membership.Owners(b.opts.View, b.opts.View.Self().FailureDomain)
 	answers := make(chan bool, len(members))
 	for _, m := range members {
 		go func() { answers <- b.requestSupport(m, c.Name) }()
@@ -175,7 +164,7 @@
 // are not counted. b.mu must be held.
 func (b *Budget) knownHosts(now time.Time) int {
 	self := b.opts.View.Self()
-	for _, m := range b.domainHosts(self.FailureDomain) {
+	for _, m := range membership.Owners(b.opts.View, self.FailureDomain) {
 		b.lastSeen[m.Host] = now
 	}
 	for host, at := range b.lastSeen {
--- /dev/null
+++ b/pkg/daemon/planned_test.go
@@ -0,0 +1,222 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	operatorv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1/operatorv1connect"
+)
+
+const (
+	// addedServices is the number of services that are added while hosts stop and start.
+	addedServices = 6
+	// inForceLimit is the time after the confirmation of a change at which every host must apply it.
+	inForceLimit = 3 * time.Second
+	// readTimeout is the timeout of a read, many times the work that it asks for.
+	readTimeout = 5 * time.Second
+)
+
+// plannedWork checks what callers see while hosts stop and start and services are added, both at the same time.
+type plannedWork struct {
+	p *processFleet
+
+	mu sync.Mutex
+	// confirmed is when the change that adds a service was confirmed, by service.
+	confirmed map[string]time.Time
+	// served is when a host first handled a request for an added service, by service and start of the host's process.
+	served map[servedKey]time.Time
+	// starts counts the starts of each host's process.
+	starts map[string]int
+	// answered and refused count the reads by their result.
+	answered, refused int
+	problems          []string
+}
+
+type servedKey struct {
+	service, host string
+	start         int
+}
+
+func (w *plannedWork) problem(format string, args ...any) {
+	w.problems = append(w.problems, fmt.Sprintf(format, args...))
+}
+
+// stopHosts stops and starts random hosts until ctx ends, one at a time.
+func (w *plannedWork) stopHosts(ctx context.Context, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		h := w.p.randomHost(rnd)
+		if err := w.p.terminate(h.name, syscall.SIGTERM); err != nil {
+			w.mu.Lock()
+			w.problem("graceful stop of host %s: %v", h.name, err)
+			w.mu.Unlock()
+		}
+		w.mu.Lock()
+		w.starts[h.name]++
+		w.mu.Unlock()
+		w.p.startHost(h)
+		w.p.waitFor("host "+h.name, func() bool { return w.p.allRespond([]string{h.operator() + "/readyz"}) })
+		time.Sleep(time.Duration(rnd.IntN(500)) * time.Millisecond)
+	}
+}
+
+// readService returns a service whose POST requests below /q may be repeated.
+func readService(name string) *configv1.Object {
+	o := service(name)
+	o.GetService().Routes = []*configv1.Route{{PathPrefix: "/q", Idempotent: true}}
+	return o
+}
+
+// addServices adds services with a target in the failure domain d2. Hosts of d1 forward their requests.
+func (w *plannedWork) addServices(rnd *rand.Rand) {
+	for i := range addedServices {
+		name := fmt.Sprintf("extra-%d", i)
+		change := []*configv1.Object{readService(name), w.p.startTarget(10+i, name, "d2", 4)}
+		w.p.waitFor("target", func() bool { return w.p.allRespond([]string{"http://" + w.p.targets[len(w.p.targets)-1] + "/load"}) })
+		w.p.waitFor("change "+name, func() bool { return w.apply(rnd, name, change) })
+		w.mu.Lock()
+		w.confirmed[name] = time.Now()
+		w.mu.Unlock()
+		time.Sleep(time.Duration(500+rnd.IntN(1500)) * time.Millisecond)
+	}
+	time.Sleep(inForceLimit + time.Second)
+}
+
+// apply commits a change through a random host. It is repeated with the same request ID if that host stops.
+func (w *plannedWork) apply(rnd *rand.Rand, id string, objects []*configv1.Object) bool {
+	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, w.p.randomHost(rnd).operator())
+	request := &operatorv1.ApplyRequest{RequestId: id}
+	for _, o := range objects {
+		request.Mutations = append(request.Mutations, &configv1.Mutation{Action: &configv1.Mutation_Put{Put: o}})
+	}
+	ctx, cancel := context.WithTimeout(w.p.t.Context(), readTimeout)
+	defer cancel()
+	_, err := client.Apply(ctx, connect.NewRequest(request))
+	return err == nil
+}
+
+// call sends reads on one connection for as long as its host keeps it open, and then turns to another host.
+func (w *plannedWork) call(ctx context.Context, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 2 * readTimeout}
+	defer client.CloseIdleConnections()
+	h := w.p.randomHost(rnd)
+	for n := 0; ctx.Err() == nil; n++ {
+		if !w.read(client, h, fmt.Sprintf("p%d-%d", seed, n), rnd) {
+			h = w.p.randomHost(rnd)
+		}
+	}
+}
+
+// read sends one read and checks its result. It returns false if the caller should turn to another host. The method is POST, which
+// net/http does not repeat when a connection ends without an answer.
+func (w *plannedWork) read(client *http.Client, h processHost, id string, rnd *rand.Rand) bool {
+	w.mu.Lock()
+	name := "tides"
+	if n := len(w.confirmed); n > 0 && rnd.IntN(2) == 0 {
+		name = fmt.Sprintf("extra-%d", rnd.IntN(n))
+	}
+	key := servedKey{name, h.name, w.starts[h.name]}
+	w.mu.Unlock()
+	sent := time.Now()
+	url := fmt.Sprintf("%s/%s/q?work=%dms&size=3000", h.caller(), name, rnd.IntN(500))
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	if err != nil {
+		w.p.t.Error(err)
+		return false
+	}
+	req.Header.Set(target.HeaderRequestID, id)
+	req.Header.Set(reply.HeaderTimeout, fmt.Sprint(readTimeout.Seconds()))
+	got := perform(client, req)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var dial *net.OpError
+	switch {
+	case errors.As(got.err, &dial) && dial.Op == "dial":
+		return false // the host is down
+	case got.err != nil:
+		w.problem("%s at %s after %s: %v", url, h.name, time.Since(sent), got.err)
+	case got.status == http.StatusOK && got.body != string(target.Body(id, 3000)):
+		w.problem("%s at %s: wrong body", url, h.name)
+	case got.status == http.StatusOK:
+		w.answered++
+		w.recordServed(key)
+	case got.status == http.StatusNotFound:
+		w.checkNotFound(key, sent)
+	case got.outcome == reply.NotRun:
+		w.refused++
+	default:
+		w.problem("%s at %s after %s: status %d %s %s", url, h.name, time.Since(sent), got.status, got.reason, got.outcome)
+	}
+	return got.err == nil && !got.closing && got.outcome != reply.NotRun
+}
+
+func (w *plannedWork) recordServed(key servedKey) {
+	if _, ok := w.served[key]; !ok {
+		w.served[key] = time.Now()
+	}
+}
+
+// checkNotFound checks that a host which does not know a service has not served it before, and that the service is new.
+func (w *plannedWork) checkNotFound(key servedKey, sent time.Time) {
+	if at, ok := w.served[key]; ok && sent.After(at) {
+		w.problem("%s at %s: not found %s after it was served", key.service, key.host, sent.Sub(at))
+	}
+	if late := sent.Sub(w.confirmed[key.service]); late > inForceLimit {
+		w.problem("%s at %s: not found %s after its confirmation", key.service, key.host, late)
+	}
+}
+
+// Guards against requests that a planned stop cuts off or lets run into their deadline, and against a change that is not in force in
+// time or is taken back, while stops and changes overlap. One host is alone in its failure domain, behind a link with a cap.
+func TestPlannedWorkCutsNobodyOff(t *testing.T) {
+	is := is.New(t)
+	p := newProcessFleet(t)
+	for i, h := range []processHost{{domain: "d1", region: "r1"}, {domain: "d1", region: "r1"}, {domain: "d1", region: "r1"}, {domain: "d2", region: "r2"}} {
+		h.name, h.ip = fmt.Sprintf("h%d", i+1), fmt.Sprintf("%s%d", p.network, 10+i)
+		p.hosts = append(p.hosts, h)
+		p.startHost(h)
+	}
+	p.waitFor("hosts", func() bool { return p.allRespond(p.operatorURLs("/readyz")) })
+	link := func(from, to string) *configv1.Object {
+		return &configv1.Object{Kind: &configv1.Object_Link{Link: &configv1.Link{
+			Name: from + "-" + to, FromRegion: from, ToRegion: to, MbitPerSecond: 4000,
+		}}}
+	}
+	p.apply(place("d1", "r1"), place("d2", "r2"), readService("tides"), link("r1", "r2"), link("r2", "r1"),
+		p.startTarget(1, "tides", "d1", 8), p.startTarget(2, "tides", "d2", 8))
+	p.waitFor("service", func() bool { return p.allRespond(p.callerURLs("/tides/x")) })
+
+	w := &plannedWork{p: p, confirmed: map[string]time.Time{}, served: map[servedKey]time.Time{}, starts: map[string]int{}}
+	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 7))
+	t.Logf("seed %d", seed)
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	for i := range 24 {
+		tasks.Go(func() { w.call(ctx, seed<<8+uint64(i)) })
+	}
+	tasks.Go(func() { w.stopHosts(ctx, rand.New(rand.NewPCG(seed, 3))) })
+	w.addServices(rand.New(rand.NewPCG(seed, 4)))
+	cancel()
+	tasks.Wait()
+	t.Logf("reads answered %d, refused as not run %d", w.answered, w.refused)
+	for _, problem := range w.problems {
+		t.Error(problem)
+	}
+	is.True(w.answered > 0)
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -40,6 +40,17 @@
 // Address returns the host name and the peer address of the member.
 func (m Member) Address() peer.Address { return peer.Address{Host: m.Host, Addr: m.PeerAddress} }
 
+// Owners returns the hosts of a failure domain that may own its shared state, such as dispatchers and caps: those of
+// View.Domain. If no host is left there but this one, which is leaving, this host stays an owner, because the requests that it still
+// serves need that state.
+func Owners(view View, failureDomain string) []Member {
+	members := view.Domain(failureDomain)
+	if self := view.Self(); len(members) == 0 && self.FailureDomain == failureDomain {
+		return []Member{self}
+	}
+	return members
+}
+
 // View is read access to the member table. Returned slices are sorted by host name and must not be modified.
 type View interface {
 	// Self returns this host.
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -112,7 +112,7 @@
 // the two that rank highest for the service in this host's view. The dispatcher comes first because the views of hosts can differ
 // for a while.
 func (m *Manager) candidates(service string, state *clientState) []membership.Member {
-	owners := rankHosts(service, m.opts.View.Domain(m.opts.FailureDomain))
+	owners := rankHosts(service, membership.Owners(m.opts.View, m.opts.FailureDomain))
 	fence := state.followed()
 	list := make([]membership.Member, 0, 3)
 	// A leaving dispatcher is not among the members of the domain but serves until it is superseded.
--- a/pkg/permit/failover_test.go
+++ b/pkg/permit/failover_test.go
@@ -1,6 +1,7 @@
 package permit_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanhitch/rattanhitch/pkg/config"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/permittest"
 )
@@ -284,3 +286,24 @@
 		failovers: map[permit.ID]bool{}, started: map[permit.ID]bool{},
 	}
 }
+
+// Guards against requests that wait until their deadline because the last host of a failure domain leaves: it must also dispatch the
+// services that are added meanwhile.
+func TestLastHostDispatchesWhileItLeaves(t *testing.T) {
+	run(t, 1, 1, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
+		h := d.Hosts()[0]
+		h.Leave()
+		time.Sleep(time.Second)
+		added := permittest.Service{Name: "added", Domain: "d1", Targets: 1, Slots: 1}
+		current := d.Store.Current()
+		objects := append(current.List(""), permittest.Objects(added)...)
+		d.Store.Set(config.NewSnapshot(current.Version+1, objects))
+		for _, service := range []string{"lookup", "added"} {
+			start := time.Now()
+			g, err := h.Acquire(context.Background(), d.request(service, 5*time.Second))
+			is.NoErr(err)
+			is.True(time.Since(start) < time.Second)
+			g.Release(permit.Observation{Outcome: ok})
+		}
+	})
+}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -177,7 +177,7 @@
 // the handover.
 func (m *Manager) reconcileDispatchers() {
 	m.updateKnownHosts()
-	members := m.opts.View.Domain(m.opts.FailureDomain)
+	members := membership.Owners(m.opts.View, m.opts.FailureDomain)
 	served := map[string]bool{}
 	snap := m.opts.Store.Current()
 	for _, o := range snap.List(config.KindService) {
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -249,11 +249,25 @@
 	}
 }
 
+// Leave marks the host as leaving in its own view. Its heartbeats do not tell the others.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers[h.Member.Host].member.State = membership.StateLeaving
+	h.notify()
+}
+
 // Self implements membership.View.
-func (h *Host) Self() membership.Member { return h.Member }
+func (h *Host) Self() membership.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peers[h.Member.Host].member
+}
 
 // Domain implements membership.View.
-func (h *Host) Domain(string) []membership.Member { return h.All() }
+func (h *Host) Domain(string) []membership.Member {
+	return slices.DeleteFunc(h.All(), func(m membership.Member) bool { return m.State == membership.StateLeaving })
+}
 
 // All implements membership.View.
 func (h *Host) All() []membership.Member {
