Decide at the response whether a leaving host closes the connection

Callers could see: a request cut off without an answer. A response to a request that arrived before the host began to leave did not say Connection: close. If it ended just before the host closed its idle connections, the caller sent its next request on a closed one.

Cause: the header was set when a request arrived, and the answers to commands set it only then as well.

Change: setConnection decides when the response is written.

Evidence: TestResponsesOfRequestsBeforeTheLeaveCloseTheConnection failed before and passes.

--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -46,11 +46,13 @@
 	b.control.SetReadDeadline(time.Time{})
 }
 
-// closeIfUnread sets Connection: close if part of the body was not read. Otherwise net/http would read the rest before it sends
-// the response, which delays the response until the caller has sent everything.
-func (rq *request) closeIfUnread(h http.Header) {
-	if rq.body == nil && rq.in.ContentLength != 0 || rq.body != nil && !rq.body.complete.Load() {
-		h.Set("Connection", "close")
+// setConnection sets Connection: close if this host is leaving, or if part of the body was not read. In the second case net/http would
+// otherwise read the rest before it sends the response, which delays the response until the caller has sent everything. Call it when
+// the response is written: the host may have begun to leave since the request arrived.
+func (h *Handler) setConnection(rq *request, header http.Header) {
+	unread := rq.body == nil && rq.in.ContentLength != 0 || rq.body != nil && !rq.body.complete.Load()
+	if unread || h.leaving.Load() && !rq.forwarded {
+		header.Set("Connection", "close")
 	}
 }
 
--- a/pkg/entry/commands.go
+++ b/pkg/entry/commands.go
@@ -80,6 +80,7 @@
 // writeResponse writes a recorded response to the caller and counts the request.
 func (h *Handler) writeResponse(w http.ResponseWriter, rq *request, resp *command.Response) {
 	header := w.Header()
+	h.setConnection(rq, header)
 	for name, values := range resp.Header {
 		header[name] = values
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -164,9 +164,6 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *origin) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.leaving.Load() && from == nil {
-		w.Header().Set("Connection", "close")
-	}
 	rq, refusal := h.newRequest(w, r, from)
 	if refusal != nil {
 		h.refuse(w, rq, refusal)
--- a/pkg/entry/record.go
+++ b/pkg/entry/record.go
@@ -51,7 +51,7 @@
 			f.Outcome = reply.Unknown
 		}
 	}
-	rq.closeIfUnread(w.Header())
+	h.setConnection(rq, w.Header())
 	h.writeRefusal(w, rq, f)
 	h.metrics.countRefusal(f.Reason)
 	h.log.refused(rq, f)
--- a/pkg/entry/stop_test.go
+++ b/pkg/entry/stop_test.go
@@ -95,3 +95,21 @@
 	is.Equal(handler.InFlight(), 0)
 	handler.Close()
 }
+
+// Guards against a request that is cut off because its connection seemed to stay open: the response before it belongs to a request from
+// before the leave, and ended just before the host closed its idle connections.
+func TestResponsesOfRequestsBeforeTheLeaveCloseTheConnection(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFixture(t, 1, func(o *Options) { o.Commands = directExecutor{} })
+		for _, method := range []string{"GET", "POST"} {
+			w.handler.SetLeaving(false)
+			time.AfterFunc(500*time.Millisecond, func() { w.handler.SetLeaving(true) })
+			got := w.do(method, "/lookup/a?work=1s", "", "Idempotency-Key", "k")
+			is.NoErr(got.err)
+			is.Equal(got.status, 200)
+			is.True(got.closing)
+		}
+		is.True(w.do("GET", "/nothing", "").closing)
+	})
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -38,7 +38,7 @@
 	for name := range ans.resp.Trailer {
 		header.Add("Trailer", name)
 	}
-	rq.closeIfUnread(header)
+	h.setConnection(rq, header)
 	if ans.fullBody != nil && len(ans.resp.Trailer) == 0 && rq.in.Method != http.MethodHead {
 		header["Content-Length"] = []string{strconv.Itoa(len(ans.fullBody))}
 	}
