Split the summaries of failure domains and the calls between followers into files of their own

Change: summary_exchange.go, headroom.go and peers.go take the exchange between domains, the reports of free slots, and the calls between hosts. Functions are moved, not changed.

--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -5,18 +5,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
-	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
@@ -213,27 +210,6 @@
 	t.failingSince = time.Time{}
 }
 
-// push sends changed rows to the other hosts of the dispatch domain. A host that misses them gets them by its next poll.
-func (f *Follower) push(ctx context.Context, t *followedTable, changed []store.WatchedRow) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
-	defer cancel()
-	m := t.rowsMessage(changed, time.Now())
-	self := f.opts.View.Self()
-	var calls conc.WaitGroup
-	for _, member := range f.opts.View.Domain(self.FailureDomain) {
-		if member.Host == self.Host {
-			continue
-		}
-		calls.Go(func() {
-			err := f.opts.Caller.Call(ctx, member.Address(), methodPush, &peerv1.WatchedPush{Table: m}, &peerv1.WatchedPushResponse{})
-			if err != nil {
-				f.opts.Scope.Counter("push_failures").Inc(1)
-			}
-		})
-	}
-	calls.Wait()
-}
-
 // fetchLoop polls the reader, unless this host is the reader, and updates the gauges.
 func (f *Follower) fetchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -252,76 +228,3 @@
 		}
 	}
 }
-
-// fetchFromRandomPeer fetches the tables from a random host of any dispatch domain that is not suspect: the platform may
-// refuse some hosts and serve others.
-func (f *Follower) fetchFromRandomPeer(ctx context.Context) {
-	self := f.opts.View.Self()
-	var others []membership.Member
-	for _, m := range f.opts.View.All() {
-		if m.Host != self.Host && m.State != membership.StateSuspect {
-			others = append(others, m)
-		}
-	}
-	if len(others) > 0 {
-		f.fetchFrom(ctx, others[rand.IntN(len(others))])
-	}
-}
-
-// fetchFrom requests the rows that are newer than the local copies from a host and merges them.
-func (f *Follower) fetchFrom(ctx context.Context, host membership.Member) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	req := &peerv1.WatchedTablesRequest{}
-	for _, t := range f.tables {
-		req.Positions = append(req.Positions, &peerv1.WatchedPosition{Table: t.name, Version: t.position()})
-	}
-	resp := &peerv1.WatchedTablesResponse{}
-	if err := f.opts.Caller.Call(ctx, host.Address(), methodFetch, req, resp); err != nil {
-		f.opts.Scope.Counter("ask_failures").Inc(1)
-		return
-	}
-	f.opts.Scope.Counter("fetched_bytes").Inc(int64(proto.Size(resp)))
-	now := time.Now()
-	for _, m := range resp.GetTables() {
-		if t := f.table(m.GetTable()); t != nil {
-			t.merge(decodeUpdate(m, host.Host), now)
-		}
-	}
-}
-
-// table returns a followed table by name, or nil.
-func (f *Follower) table(name string) *followedTable {
-	for _, t := range f.tables {
-		if t.name == name {
-			return t
-		}
-	}
-	return nil
-}
-
-func (f *Follower) handleFetch(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
-	req := &peerv1.WatchedTablesRequest{}
-	if err := proto.Unmarshal(payload, req); err != nil {
-		return nil, steperr.Wrap(err, "decode request for watched tables", from.Host)
-	}
-	resp := &peerv1.WatchedTablesResponse{}
-	now := time.Now()
-	for _, p := range req.GetPositions() {
-		if t := f.table(p.GetTable()); t != nil {
-			resp.Tables = append(resp.Tables, t.rowsSince(p.GetVersion(), now))
-		}
-	}
-	return resp, nil
-}
-
-func (f *Follower) handlePush(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
-	push := &peerv1.WatchedPush{}
-	if err := proto.Unmarshal(payload, push); err != nil {
-		return nil, steperr.Wrap(err, "decode pushed rows of a watched table", from.Host)
-	}
-	if t := f.table(push.GetTable().GetTable()); t != nil {
-		t.merge(decodeUpdate(push.GetTable(), from.Host), time.Now())
-	}
-	return &peerv1.WatchedPushResponse{}, nil
-}
