--- /dev/null
+++ b/pkg/daemon/process_fleet_test.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	operatorv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1/operatorv1connect"
+)
+
+// processFleet runs the daemon, the targets and the platform as separate processes on loopback addresses of this test.
+type processFleet struct {
+	t       *testing.T
+	bin     string
+	network string
+
+	mu      sync.Mutex
+	running map[string]*exec.Cmd
+	hosts   []processHost
+	targets []string
+}
+
+type processHost struct {
+	name, domain, region, ip string
+}
+
+func (h processHost) caller() string   { return "http://" + h.ip + ":8080" }
+func (h processHost) operator() string { return "http://" + h.ip + ":8081" }
+
+func newProcessFleet(t *testing.T) *processFleet {
+	t.Helper()
+	p := &processFleet{t: t, bin: t.TempDir(), running: map[string]*exec.Cmd{}}
+	// The second byte differs from that of fleet.ip, so that both kinds of fleet can run at the same time.
+	p.network = fmt.Sprintf("127.%d.%d.", 128+os.Getpid()>>8&0x3f, os.Getpid()&0xff)
+	build := exec.Command("go", "build", "-o", p.bin, "../../cmd/rattanhitchd", "../../cmd/rattanhitch-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	t.Cleanup(p.stopAll)
+	p.start("platform", "rattanhitch-standin", "platform", "--listen", p.network+"1:8080")
+	return p
+}
+
+func (p *processFleet) start(name, program string, args ...string) {
+	p.t.Helper()
+	cmd := exec.Command(filepath.Join(p.bin, program), args...)
+	var stderr bytes.Buffer
+	cmd.Stderr, cmd.Stdout = &stderr, &stderr
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.mu.Lock()
+	p.running[name] = cmd
+	p.mu.Unlock()
+	p.t.Cleanup(func() {
+		if p.t.Failed() {
+			p.t.Logf("%s:\n%s", name, lastLines(stderr.String(), 10))
+		}
+	})
+}
+
+func lastLines(s string, n int) string {
+	lines := strings.Split(strings.TrimSpace(s), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
+func (p *processFleet) startHost(h processHost) {
+	p.start(h.name, "rattanhitchd", "--host", h.name, "--failure-domain", h.domain, "--region", h.region,
+		"--caller-listen", h.ip+":8080", "--operator-listen", h.ip+":8081", "--peer-listen", h.ip+":8082",
+		"--platform-url", "http://"+p.network+"1:8080", "--announce-for", "1s", "--log-level", "warn")
+}
+
+func (p *processFleet) signal(name string, s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.running[name].Process.Signal(s)
+}
+
+// terminate sends a process a signal that ends it, and waits until it has exited.
+func (p *processFleet) terminate(name string, s syscall.Signal) error {
+	p.signal(name, s)
+	p.mu.Lock()
+	cmd := p.running[name]
+	delete(p.running, name)
+	p.mu.Unlock()
+	return cmd.Wait()
+}
+
+// kill ends a process with SIGKILL, without a graceful stop.
+func (p *processFleet) kill(name string) { _ = p.terminate(name, syscall.SIGKILL) }
+
+func (p *processFleet) stopAll() {
+	p.mu.Lock()
+	var names []string
+	for name := range p.running {
+		names = append(names, name)
+	}
+	p.mu.Unlock()
+	for _, name := range names {
+		p.kill(name)
+	}
+}
+
+func (p *processFleet) waitFor(what string, ready func() bool) {
+	p.t.Helper()
+	f := fleet{t: p.t}
+	f.waitFor(what, ready)
+}
+
+func (p *processFleet) startTarget(index int, service, domain string, slots int) *configv1.Object {
+	address := fmt.Sprintf("%s%d:9000", p.network, 100+index)
+	name := fmt.Sprintf("t%d", index)
+	p.start(name, "rattanhitch-standin", "target", "--name", name, "--listen", address, "--slots", fmt.Sprint(slots))
+	p.targets = append(p.targets, address)
+	return &configv1.Object{Kind: &configv1.Object_Target{Target: &configv1.Target{
+		Name: name, Service: service, FailureDomain: domain, Address: address, Slots: uint32(slots), MaxConnections: 800,
+		State: configv1.TargetState_TARGET_STATE_ACTIVE,
+	}}}
+}
+
+// apply creates objects through the operators' interface.
+func (p *processFleet) apply(objects ...*configv1.Object) {
+	p.t.Helper()
+	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, p.hosts[0].operator())
+	request := &operatorv1.ApplyRequest{RequestId: "create"}
+	for _, o := range objects {
+		request.Mutations = append(request.Mutations, &configv1.Mutation{Action: &configv1.Mutation_Put{Put: o}})
+	}
+	if _, err := client.Apply(p.t.Context(), connect.NewRequest(request)); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// executions returns the sum of the execution reports of all targets.
+func (p *processFleet) executions() target.ExecutionReport {
+	p.t.Helper()
+	sum := target.ExecutionReport{Keys: map[string]int{}}
+	for _, address := range p.targets {
+		resp, err := http.Get("http://" + address + "/executions")
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		var r target.ExecutionReport
+		err = json.NewDecoder(resp.Body).Decode(&r)
+		_ = resp.Body.Close()
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		for key, n := range r.Keys {
+			sum.Keys[key] += n
+		}
+		sum.Total += r.Total
+		sum.Shed += r.Shed
+	}
+	return sum
+}
+
+func (p *processFleet) callerURLs(path string) []string {
+	var urls []string
+	for _, h := range p.hosts {
+		urls = append(urls, h.caller()+path)
+	}
+	return urls
+}
+
+func (p *processFleet) operatorURLs(path string) []string {
+	var urls []string
+	for _, h := range p.hosts {
+		urls = append(urls, h.operator()+path)
+	}
+	return urls
+}
+
+func (p *processFleet) allRespond(urls []string) bool {
+	client := &http.Client{Timeout: 3 * time.Second}
+	for _, url := range urls {
+		resp, err := client.Get(url)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
