--- a/pkg/ctl/drain.go
+++ b/pkg/ctl/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
@@ -22,28 +21,21 @@
 }
 
 func newDrainStartCommand(o *options) *cobra.Command {
-	var ramp time.Duration
-	var watch bool
-	var requestID string
+	var flags startFlags
 	command := &cobra.Command{
 		Use:   "start NAME SUBJECT",
 		Short: "Start a drain; SUBJECT is target/NAME, host/NAME or failure-domain/NAME",
 		Args:  exactArgs(2),
 		RunE: func(command *cobra.Command, args []string) error {
-			drain := &configv1.Drain{Name: args[0], RampSeconds: uint32(ramp / time.Second)}
+			drain := &configv1.Drain{Name: args[0], RampSeconds: flags.rampSeconds()}
 			if err := setSubject(drain, args[1]); err != nil {
 				return err
 			}
 			object := &configv1.Object{Kind: &configv1.Object_Drain{Drain: drain}}
-			if err := o.createObject(command, requestID, object); err != nil || !watch {
-				return err
-			}
-			return o.watchDrain(command, args[0])
+			return o.start(command, flags, args[0], object, o.watchDrain)
 		},
 	}
-	command.Flags().DurationVar(&ramp, "ramp", 0, "time over which requests are shifted away, in whole seconds")
-	command.Flags().BoolVar(&watch, "watch", false, "watch the drain until it is complete")
-	addRequestID(command, &requestID)
+	flags.add(command, "drain", "time over which requests are shifted away, in whole seconds")
 	return command
 }
 
--- a/pkg/ctl/move.go
+++ b/pkg/ctl/move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
@@ -21,21 +20,16 @@
 }
 
 func newMoveStartCommand(o *options) *cobra.Command {
-	var ramp time.Duration
-	var watch bool
-	var requestID string
+	var start startFlags
 	move := &configv1.Move{}
 	command := &cobra.Command{
 		Use:   "start NAME",
 		Short: "Start a move",
 		Args:  exactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			move.Name, move.RampSeconds = args[0], uint32(ramp/time.Second)
+			move.Name, move.RampSeconds = args[0], start.rampSeconds()
 			object := &configv1.Object{Kind: &configv1.Object_Move{Move: move}}
-			if err := o.createObject(command, requestID, object); err != nil || !watch {
-				return err
-			}
-			return o.watchMove(command, args[0])
+			return o.start(command, start, args[0], object, o.watchMove)
 		},
 	}
 	flags := command.Flags()
@@ -43,9 +37,7 @@
 	flags.StringVar(&move.FromRegion, "from", "", "region from which requests are shifted away")
 	flags.StringVar(&move.ToRegion, "to", "", "region to which requests are shifted")
 	flags.Uint32Var(&move.Percent, "percent", 0, "share of the requests to shift at the end of the ramp, in percent")
-	flags.DurationVar(&ramp, "ramp", 0, "time over which the share grows from 0 to its final value, in whole seconds")
-	flags.BoolVar(&watch, "watch", false, "watch the move until it is complete")
-	addRequestID(command, &requestID)
+	start.add(command, "move", "time over which the share grows from 0 to its final value, in whole seconds")
 	return command
 }
 
