--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,16 @@
 	@cat KNOWN-RED.txt
 	$(GO) test -race -timeout 20m -skip '$(KNOWN_RED)' ./...
 
-# Real processes under random faults, for about four seconds a round. SOAK_SEED repeats an order of faults.
+# Real processes under random faults, for about four seconds a round, and then SOAK_SERIES series of planned stops beside changes of the
+# configuration, for 15 seconds each. SOAK_SEED repeats an order of faults, and is the seed of the first series.
 SOAK_ROUNDS ?= 100
+SOAK_SERIES ?= 50
 SOAK_SEED ?= $(shell date +%s)
 soak:
 	RATTANHITCH_SOAK_ROUNDS=$(SOAK_ROUNDS) RATTANHITCH_SOAK_SEED=$(SOAK_SEED) \
 	  $(GO) test -count=1 -timeout 2h -v -run TestProcessesUnderFaults ./pkg/daemon
+	for n in $$(seq 0 $$(($(SOAK_SERIES) - 1))); do RATTANHITCH_SOAK_SEED=$$(($(SOAK_SEED) + n)) \
+	  $(GO) test -count=1 -v -run TestPlannedWorkCutsNobodyOff ./pkg/daemon || exit 1; done
 
 lint:
 	@test -z "$$(gofmt -l cmd pkg internal bench demo platform)" || { gofmt -l cmd pkg internal bench demo platform; exit 1; }
