Skip keys without a version when old changes are deleted

Operators could see: the table of changes grows for good.

Cause: deletion stopped at the first key that holds no version, which another writer may have put before all changes.

Change: such a row is skipped.

Evidence: TestUnreadableKeysDoNotStopPruning failed before (nothing deleted) and passes.

--- a/pkg/config/checkpoint.go
+++ b/pkg/config/checkpoint.go
@@ -127,7 +127,10 @@
 	var txn store.Txn
 	for _, row := range rows {
 		version, err := versionOfKey(row.Key)
-		if err != nil || version > last {
+		if err != nil {
+			continue // a row of another writer
+		}
+		if version > last {
 			break
 		}
 		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
