--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -16,7 +16,7 @@
 	Service string
 	// Key is the value of the Idempotency-Key header: a ticket issued by a host, or a key that the caller chose.
 	Key string
-	// ContentHash is a hash of method, path and body.
+	// ContentHash is a hash of service, method, path, query and body.
 	ContentHash uint64
 	Deadline    time.Time
 	// FirstSend is set if the caller declared that it has not sent this key before.
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -22,7 +22,8 @@
 	Class configv1.RequestClass
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
-	// Fingerprint is a hash of method, path and body, by which poison requests (ones that crash targets) are recognised.
+	// Fingerprint is a hash of service, method, path, query and body, by which poison requests (ones that crash targets) are
+	// recognised.
 	Fingerprint uint64
 	// Command is set for a request that must not be executed twice. It is neither hedged nor sent to a target in quarantine.
 	Command bool
