Hand the caps of a link over when their holder is replaced by plan

Callers saw: 504 with the outcome unknown after their whole timeout, for requests over a capped link while hosts were restarted one after the other; targets without free slots, because the responses that waited for the link occupied them.

Cause: a holder that left, or that was replaced when the owner came back, let its support expire. Its successor had no support of a majority for up to 2 s, twice for each restart.

Change: a holder that sees another owner stops granting and releases its support (RPC budget.release). Requests and releases carry the holder's sequence number, so that a late release ends no newer support, and support that was asked for before a release is not used after it. A successor starts after the last slice that may have been granted, as before.

--- a/pkg/budget/fleet_test.go
+++ b/pkg/budget/fleet_test.go
@@ -173,12 +173,14 @@
 	self   membership.Member
 	mu     sync.Mutex
 	hidden map[string]bool
+	// changed is closed at each change of hidden.
+	changed chan struct{}
 }
 
 func newFakeView(name, domain string, incarnation uint64) *fakeView {
 	return &fakeView{
 		self:   membership.Member{Host: name, Incarnation: incarnation, FailureDomain: domain, PeerAddress: name},
-		hidden: map[string]bool{},
+		hidden: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
 
@@ -186,6 +188,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.hidden[name] = hidden && name != v.self.Host
+	v.notify()
+}
+
+// notify closes the channel of Changed. v.mu must be held.
+func (v *fakeView) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// leave removes a host from the live hosts of its domain, also in its own view.
+func (v *fakeView) leave(name string, leaving bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hidden[name] = leaving
+	v.notify()
 }
 
 func (v *fakeView) Self() membership.Member { return v.self }
@@ -208,7 +225,11 @@
 	return membership.Member{Host: name, FailureDomain: name[:1], PeerAddress: name}, true
 }
 
-func (v *fakeView) Changed() <-chan struct{} { return nil }
+func (v *fakeView) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
 
 // pauser blocks the calls of pass while the host is paused.
 type pauser struct {
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -33,6 +33,10 @@
 	// validUntil is when the support of a majority expires.
 	validUntil time.Time
 	renewing   bool
+	// watching is set while watchOwner runs.
+	watching bool
+	// releasedSequence is the sequence number up to which support was released and must not be used any more.
+	releasedSequence uint64
 	// lastUsed is when a slice was last requested.
 	lastUsed time.Time
 	schedule schedule
@@ -43,7 +47,9 @@
 type supportLease struct {
 	host        string
 	incarnation uint64
-	until       time.Time
+	// sequence is the sequence number of the holder's last request.
+	sequence uint64
+	until    time.Time
 }
 
 // holder returns the host of a failure domain that should hold a cap, by rendezvous hashing. It returns false if no host of the
@@ -62,12 +68,12 @@
 	if err := proto.Unmarshal(payload, req); err != nil {
 		return nil, err
 	}
-	return &peerv1.SupportResponse{Supported: b.grantSupport(req.GetCap(), from.Host, from.Incarnation)}, nil
+	return &peerv1.SupportResponse{Supported: b.grantSupport(req.GetCap(), from.Host, from.Incarnation, req.GetSequence())}, nil
 }
 
 // grantSupport grants or renews a support lease for a cap. It returns false if another host or incarnation has a valid
 // lease, or if this host has just started.
-func (b *Budget) grantSupport(capName, host string, incarnation uint64) bool {
+func (b *Budget) grantSupport(capName, host string, incarnation, sequence uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -83,18 +89,21 @@
 	if now.Before(s.until) && (s.host != host || s.incarnation != incarnation) {
 		return false
 	}
-	b.supportLeases[capName] = supportLease{host, incarnation, now.Add(supportTTL)}
+	if s.host == host && s.incarnation == incarnation {
+		sequence = max(sequence, s.sequence)
+	}
+	b.supportLeases[capName] = supportLease{host, incarnation, sequence, now.Add(supportTTL)}
 	return true
 }
 
 // renew requests support from the hosts of the failure domain and extends the validity of this host as holder if a majority of
 // the known hosts grants it.
 func (b *Budget) renew(c Cap) {
-	requestedAt := time.Now()
+	requestedAt, sequence := time.Now(), b.nextSequence()
 	members := membership.Owners(b.opts.View, b.opts.View.Self().FailureDomain)
 	answers := make(chan bool, len(members))
 	for _, m := range members {
-		go func() { answers <- b.requestSupport(m, c.Name) }()
+		go func() { answers <- b.requestSupport(m, c.Name, sequence) }()
 	}
 	supporters := 0
 	for range members {
@@ -106,7 +115,7 @@
 	defer b.mu.Unlock()
 	h := b.holderStates[c.Name]
 	h.renewing = false
-	if 2*supporters <= b.knownHosts(requestedAt) {
+	if 2*supporters <= b.knownHosts(requestedAt) || sequence <= h.releasedSequence {
 		return
 	}
 	if now := time.Now(); !now.Before(h.validUntil) {
@@ -114,6 +123,10 @@
 		h.schedule.nextStart = now.Add(grantHorizon + sliceTTL + b.maxSpacing(c))
 	}
 	h.validUntil = requestedAt.Add(supportTTL)
+	if !h.watching {
+		h.watching = true
+		go b.watchOwner(c.Name)
+	}
 	time.AfterFunc(renewMargin, func() { b.renewIfInUse(c.Name) })
 }
 
@@ -147,15 +160,15 @@
 }
 
 // requestSupport requests support from one host, which may be this one. It returns false if the call fails.
-func (b *Budget) requestSupport(m membership.Member, capName string) bool {
+func (b *Budget) requestSupport(m membership.Member, capName string, sequence uint64) bool {
 	self := b.opts.View.Self()
 	if m.Host == self.Host {
-		return b.grantSupport(capName, self.Host, self.Incarnation)
+		return b.grantSupport(capName, self.Host, self.Incarnation, sequence)
 	}
 	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
 	defer cancel()
 	resp := &peerv1.SupportResponse{}
-	err := b.opts.Caller.Call(ctx, m.Address(), methodSupport, &peerv1.SupportRequest{Cap: capName}, resp)
+	err := b.opts.Caller.Call(ctx, m.Address(), methodSupport, &peerv1.SupportRequest{Cap: capName, Sequence: sequence}, resp)
 	return err == nil && resp.GetSupported()
 }
 
@@ -193,7 +206,7 @@
 	now := time.Now()
 	h := b.holderState(c.Name)
 	h.schedule.setShare(c.share(domain), now)
-	// A host that is no longer the owner lets its support expire, so that its successor can take over.
+	// A host that is no longer the owner does not renew its support, so that its successor can take over (see watchOwner).
 	owner, _ := b.holder(c.Name, domain)
 	h.lastUsed = now
 	renew := h.validUntil.Sub(now) < renewMargin && owner.Host == b.opts.View.Self().Host
--- a/pkg/budget/leave_test.go
+++ b/pkg/budget/leave_test.go
@@ -65,3 +65,43 @@
 		}
 	})
 }
+
+// Guards against seconds without budget whenever the holder of a cap is replaced by plan: when it leaves, and when it is back. Requests
+// and responses over the link waited for the support of the previous holder to expire, some of them until their deadline.
+func TestPlannedHandoverOfACapIsShort(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		c := testCap(100)
+		c.Domains = []string{"x"} // nothing can be borrowed from another domain
+		f := newFleet(t, c)
+		owner, ok := f.hosts["x0"].budget.holder("c", "x")
+		is.True(ok)
+		user := f.hosts[map[string]string{"x0": "x1", "x1": "x2", "x2": "x0"}[owner.Host]]
+		f.demand(user.view.self.Host, 1, 1)
+		time.Sleep(5 * time.Second) // the holder has support, which is renewed
+		for _, leaving := range []bool{true, false, true} {
+			for _, h := range f.hosts {
+				h.view.leave(owner.Host, leaving)
+			}
+			start := time.Now()
+			f.waitForUse(start)
+			is.True(time.Since(start) < supportTTL/3)
+			time.Sleep(5 * time.Second)
+		}
+		peak, _ := f.peak(time.Time{})
+		is.True(peak <= 100)
+	})
+}
+
+// waitForUse waits until a part of the cap is used after a time.
+func (f *fleet) waitForUse(since time.Time) {
+	for {
+		f.mu.Lock()
+		used := len(f.uses) > 0 && f.uses[len(f.uses)-1].at.After(since.Add(grantHorizon))
+		f.mu.Unlock()
+		if used {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/pkg/budget/pause_test.go
+++ b/pkg/budget/pause_test.go
@@ -52,18 +52,18 @@
 		is := is.New(t)
 		f := newFleet(t, testCap(100))
 		b := f.hosts["x0"].budget
-		is.True(b.grantSupport("c", "x1", 5))
+		is.True(b.grantSupport("c", "x1", 5, 1))
 		time.Sleep(supportTTL - time.Millisecond)
-		is.True(!b.grantSupport("c", "x2", 1))
-		is.True(!b.grantSupport("c", "x1", 6)) // a restarted holder has lost its schedule
-		is.True(b.grantSupport("c", "x1", 5))
+		is.True(!b.grantSupport("c", "x2", 1, 1))
+		is.True(!b.grantSupport("c", "x1", 6, 1)) // a restarted holder has lost its schedule
+		is.True(b.grantSupport("c", "x1", 5, 1))
 		f.net.Kill("x0")
 		f.kill(f.hosts["x0"])
 		f.start("x0", "x")
 		b = f.hosts["x0"].budget
 		time.Sleep(supportTTL - time.Millisecond)
-		is.True(!b.grantSupport("c", "x2", 1))
+		is.True(!b.grantSupport("c", "x2", 1, 1))
 		time.Sleep(time.Millisecond)
-		is.True(b.grantSupport("c", "x2", 1))
+		is.True(b.grantSupport("c", "x2", 1, 1))
 	})
 }
--- a/pkg/budget/take.go
+++ b/pkg/budget/take.go
@@ -19,6 +19,7 @@
 	methodSlice   = "budget.slice"
 	methodLend    = "budget.lend"
 	methodSupport = "budget.support"
+	methodRelease = "budget.release"
 )
 
 // Options configure a Budget.
@@ -45,6 +46,8 @@
 	startedAt     time.Time
 	holderStates  map[string]*holderState
 	supportLeases map[string]supportLease
+	// supportSequence is the sequence number of the last request for support.
+	supportSequence uint64
 	// lastSeen is when each host of the failure domain was last live.
 	lastSeen map[string]time.Time
 	// lenderBackoffUntil is the time before which a lender, by cap and failure domain, is not called again.
@@ -61,6 +64,7 @@
 	opts.Registrar.Handle(methodSlice, b.handleSlice)
 	opts.Registrar.Handle(methodLend, b.handleLend)
 	opts.Registrar.Handle(methodSupport, b.handleSupport)
+	opts.Registrar.Handle(methodRelease, b.handleRelease)
 	return b
 }
 
