--- a/pkg/daemon/planned_test.go
+++ b/pkg/daemon/planned_test.go
@@ -126,6 +126,7 @@
 	h := w.p.randomHost(rnd)
 	for n := 0; ctx.Err() == nil; n++ {
 		if !w.read(client, h, fmt.Sprintf("p%d-%d", seed, n), rnd) {
+			client.CloseIdleConnections() // a request on a connection that idles for seconds may cross its close
 			h = w.p.randomHost(rnd)
 		}
 	}
