Answer 503 when the owner of a command's key lacks the configuration

Callers saw: 404 for a command on a new service that was relayed to the owner of its key, while the owner had an older configuration.

Cause: the refusal of a host without the service was changed to 503 only if its outcome was not-run. For a key the outcome is unknown, because an earlier send may have run. Found by reading the change.

Change: the status no longer depends on the outcome, only the further attempts do. readPolicy is now readRouting: Policy is an object of the configuration.

Evidence: TestRelayedCommandOfANewServiceIsNotUnknown failed before (404) and passes.

--- a/pkg/entry/forwarded_rule_test.go
+++ b/pkg/entry/forwarded_rule_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/command"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
@@ -130,3 +132,41 @@
 		})
 	}
 }
+
+// Guards against 404 for a command that is relayed to the owner of its key while the owner has an older configuration.
+func TestRelayedCommandOfANewServiceIsNotUnknown(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		second := newFixture(t, 1, func(o *Options) {
+			o.Self = peer.Identity{Host: "h2", Incarnation: 9}
+			o.Commands = directExecutor{}
+		})
+		first := newFixture(t, 0, func(o *Options) {
+			o.Store, o.Commands = serviceStore("fresh"), relayingExecutor{}
+		})
+		first.handler.opts.Forwarder = first.net
+		first.net.serve(t, "h2", second.handler.ForwardedHandler())
+		got := first.do("POST", "/fresh/pay", "x", "Idempotency-Key", "k")
+		is.NoErr(got.err)
+		is.Equal(got.status, 503)
+		is.Equal(got.header.Get("Rattanhitch-Reason"), "not-ready")
+		is.Equal(second.targets[0].Report().Total, 0)
+	})
+}
+
+// relayingExecutor is a CommandExecutor that relays every command to the host h2.
+type relayingExecutor struct{ directExecutor }
+
+func (relayingExecutor) Execute(ctx context.Context, _ command.Command, s command.Sender) command.Result {
+	result, _ := s.Relay(ctx, peer.Address{Host: "h2", Addr: "h2"}, 1000)
+	return result
+}
+
+// serviceStore returns a store whose configuration has one service.
+func serviceStore(name string) *config.Store {
+	store := config.NewStore()
+	store.Set(config.NewSnapshot(2, []*configv1.Object{
+		{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: name, DefaultTimeoutMs: 5000}}},
+	}))
+	return store
+}
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -129,7 +129,7 @@
 		}
 		o.objective = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
-	if err := o.readPolicy(r.Header); err != nil {
+	if err := o.readRouting(r.Header); err != nil {
 		return nil, err
 	}
 	if o.requestID == "" || o.host == "" || o.incarnation == "" || o.service == "" {
@@ -147,8 +147,8 @@
 	h.Set(headerIncarnation, o.incarnation)
 }
 
-// readPolicy reads the rule and the route of a forwarded request.
-func (o *origin) readPolicy(h http.Header) error {
+// readRouting reads the rule and the route of a forwarded request.
+func (o *origin) readRouting(h http.Header) error {
 	if text := h.Get(headerRule); text != "" {
 		o.rule = &configv1.Rule{}
 		if err := decodeMessage(text, o.rule); err != nil {
@@ -164,8 +164,8 @@
 	return nil
 }
 
-// setPolicy sets the headers that readPolicy reads.
-func (rq *request) setPolicy(h http.Header) error {
+// setRouting sets the headers that readRouting reads.
+func (rq *request) setRouting(h http.Header) error {
 	route, err := encodeMessage(cmp.Or(rq.route, &configv1.Route{}))
 	if err != nil {
 		return errors.Wrap(err, "encode route")
@@ -199,7 +199,7 @@
 	header.Set(headerIncarnation, strconv.FormatUint(h.opts.Self.Incarnation, 10))
 	header.Set(headerService, rq.name)
 	header.Set(headerMode, string(m))
-	return rq.setPolicy(header)
+	return rq.setRouting(header)
 }
 
 // matchesForwarded reports whether the response repeats the identity of the forwarded request (see writeIdentity).
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -15,6 +15,9 @@
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 )
 
+// paceTimeoutDivisor sets how long a request waits for budget on a link: the time until its deadline divided by it.
+const paceTimeoutDivisor = 4
+
 // tryRemote forwards the request to a host of another failure domain. Before that the request must pass the admission control of
 // the place, and the rate limit of the link if it goes to another region.
 func (h *Handler) tryRemote(rq *request, place Place) (*answer, retryScope) {
@@ -48,9 +51,6 @@
 	return h.opts.Pacer.Pace(ctx, toHost, rq.estimatedBytes())
 }
 
-// paceTimeoutDivisor sets how long a request waits for budget on a link: the time until its deadline divided by it.
-const paceTimeoutDivisor = 4
-
 // estimatedBytes returns the approximate size of the request on the network. A body of unknown length (chunked encoding) counts
 // as the body limit that the service sets.
 func (rq *request) estimatedBytes() int {
@@ -156,12 +156,13 @@
 		mayHaveRun: refused.Outcome != reply.NotRun, outcomeStated: true, retryScope: retryPlace,
 		err: errors.Newf("refused by host %s", to.Host),
 	}
+	if lacksConfiguration(refused.Reason) {
+		f.status, f.reason, f.retryAfter = http.StatusServiceUnavailable, reply.ReasonNotReady, notReadyRetryAfter
+		f.retryScope = retryLocal
+	}
 	// On an unknown outcome the remote host has already used its own retries; retrying here would multiply them.
 	if f.mayHaveRun || refused.Reason == reply.ReasonPoison {
 		f.retryScope = retryNone
-	} else if lacksConfiguration(refused.Reason) {
-		f.status, f.reason, f.retryAfter = http.StatusServiceUnavailable, reply.ReasonNotReady, notReadyRetryAfter
-		f.retryScope = retryLocal
 	}
 	return nil, f
 }
