--- a/pkg/daemon/planned_test.go
+++ b/pkg/daemon/planned_test.go
@@ -48,7 +48,7 @@
 	// confirmed is when the change that adds a service was confirmed, by service.
 	confirmed map[string]time.Time
 	// served is when a host first handled a request for an added service, by service and start of the host's process.
-	served map[servedKey]time.Time
+	served map[processService]time.Time
 	// starts counts the starts of each host's process, stopping holds the hosts that got SIGTERM, and stoppedAt is when the last
 	// process of a host ended.
 	starts    map[string]int
@@ -63,7 +63,8 @@
 	problems          []string
 }
 
-type servedKey struct {
+// processService names a service at one process of a host.
+type processService struct {
 	service, host string
 	start         int
 }
@@ -145,15 +146,8 @@
 // read sends one read and checks its result. It returns false if the caller should turn to another host. The method is POST, which
 // net/http does not repeat when a connection ends without an answer.
 func (w *plannedWork) read(client *http.Client, h processHost, id string, rnd *rand.Rand) bool {
-	w.mu.Lock()
-	name := "tides"
-	if n := len(w.confirmed); n > 0 && rnd.IntN(2) == 0 {
-		name = fmt.Sprintf("extra-%d", rnd.IntN(n))
-	}
-	key := servedKey{name, h.name, w.starts[h.name]}
-	w.mu.Unlock()
-	sent := time.Now()
-	url := fmt.Sprintf("%s/%s/q?work=%dms&size=3000", h.caller(), name, rnd.IntN(500))
+	key := w.chooseService(h, rnd)
+	url := fmt.Sprintf("%s/%s/q?work=%dms&size=3000", h.caller(), key.service, rnd.IntN(500))
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
 	if err != nil {
 		w.p.t.Error(err)
@@ -163,20 +157,37 @@
 	// Targets count executions by this header. In its canonical form it would make net/http repeat the request.
 	req.Header[strings.ToLower(reply.HeaderKey)] = []string{id}
 	req.Header.Set(reply.HeaderTimeout, fmt.Sprint(readTimeout.Seconds()))
+	sent := time.Now()
 	got := perform(client, req)
+	w.checkRead(key, id, url, sent, got)
+	return got.err == nil && !got.closing && got.status == http.StatusOK
+}
+
+// chooseService returns the service that every host serves, or one of the confirmed ones, with the process of the host that gets the read.
+func (w *plannedWork) chooseService(h processHost, rnd *rand.Rand) processService {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name := "tides"
+	if n := len(w.confirmed); n > 0 && rnd.IntN(2) == 0 {
+		name = fmt.Sprintf("extra-%d", rnd.IntN(n))
+	}
+	return processService{name, h.name, w.starts[h.name]}
+}
+
+// checkRead counts the result of a read, or records a problem.
+func (w *plannedWork) checkRead(key processService, id, url string, sent time.Time, got outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var dial *net.OpError
 	switch {
-	case errors.As(got.err, &dial) && dial.Op == "dial":
-		return false // the host is down
-	case got.err != nil && got.status == 0 && w.closing(h.name):
+	case errors.As(got.err, &dial) && dial.Op == "dial": // the host is down
+	case got.err != nil && got.status == 0 && w.closing(key.host):
 		w.crossed++
 		w.notPassedOn = append(w.notPassedOn, id)
 	case got.err != nil:
-		w.problem("%s at %s after %s: %v", url, h.name, time.Since(sent), got.err)
+		w.problem("%s at %s after %s: %v", url, key.host, time.Since(sent), got.err)
 	case got.status == http.StatusOK && got.body != string(target.Body(id, 3000)):
-		w.problem("%s at %s: wrong body", url, h.name)
+		w.problem("%s at %s: wrong body", url, key.host)
 	case got.status == http.StatusOK:
 		w.answered++
 		w.recordServed(key)
@@ -189,9 +200,8 @@
 	case got.outcome == reply.NotRun:
 		w.refused++
 	default:
-		w.problem("%s at %s after %s: status %d %s %s", url, h.name, time.Since(sent), got.status, got.reason, got.outcome)
+		w.problem("%s at %s after %s: status %d %s %s", url, key.host, time.Since(sent), got.status, got.reason, got.outcome)
 	}
-	return got.err == nil && !got.closing && got.status == http.StatusOK
 }
 
 // closing reports whether a host is stopping, or ended a moment ago.
@@ -213,14 +223,14 @@
 	}
 }
 
-func (w *plannedWork) recordServed(key servedKey) {
+func (w *plannedWork) recordServed(key processService) {
 	if _, ok := w.served[key]; !ok {
 		w.served[key] = time.Now()
 	}
 }
 
 // checkNotFound checks that a host which does not know a service has not served it before, and that the service is new.
-func (w *plannedWork) checkNotFound(key servedKey, sent time.Time) {
+func (w *plannedWork) checkNotFound(key processService, sent time.Time) {
 	if at, ok := w.served[key]; ok && sent.After(at) {
 		w.problem("%s at %s: not found %s after it was served", key.service, key.host, sent.Sub(at))
 	}
@@ -268,7 +278,7 @@
 	// Hosts that do not know each other yet all dispatch the same targets.
 	p.waitFor("hosts that know each other", p.allKnowAll)
 
-	w := &plannedWork{p: p, confirmed: map[string]time.Time{}, served: map[servedKey]time.Time{}, starts: map[string]int{},
+	w := &plannedWork{p: p, confirmed: map[string]time.Time{}, served: map[processService]time.Time{}, starts: map[string]int{},
 		stopping: map[string]bool{}, stoppedAt: map[string]time.Time{}}
 	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 7))
 	t.Logf("seed %d", seed)
