--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -27,24 +27,7 @@
 				is := is.New(t)
 				w := newRuleFixture(t, 2, nil)
 				released := make(chan struct{})
-				w.net.serve(t, "t0", http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-					defer close(released)
-					if c.status == 503 {
-						out.Header().Set("Rattanhitch-Outcome", "not-run")
-					}
-					out.WriteHeader(c.status)
-					_ = http.NewResponseController(out).Flush()
-					for c.endless {
-						if _, err := io.WriteString(out, "x"); err != nil {
-							return
-						}
-						if http.NewResponseController(out).Flush() != nil {
-							return
-						}
-						time.Sleep(10 * time.Millisecond)
-					}
-					<-r.Context().Done()
-				}))
+				w.net.serve(t, "t0", refuseWithoutEnd(c.status, c.endless, released))
 				start := time.Now()
 				got := w.do("GET", "/r/a", "")
 				is.NoErr(got.err)
@@ -58,6 +41,27 @@
 	}
 }
 
+// refuseWithoutEnd returns a target that sends the header of a refusal and then a body without end: a byte every 10 ms, or nothing. It
+// closes released when its connection ends.
+func refuseWithoutEnd(status int, endless bool, released chan<- struct{}) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		defer close(released)
+		control := http.NewResponseController(out)
+		if status == http.StatusServiceUnavailable {
+			out.Header().Set("Rattanhitch-Outcome", "not-run")
+		}
+		out.WriteHeader(status)
+		err := control.Flush()
+		for endless && err == nil {
+			time.Sleep(10 * time.Millisecond)
+			if _, err = io.WriteString(out, "x"); err == nil {
+				err = control.Flush()
+			}
+		}
+		<-r.Context().Done()
+	}
+}
+
 // Guards against a response without end that is kept in memory, that outlasts the timeout of its rule, or that looks complete when it
 // is cut off.
 func TestResponseWithoutEndIsCutOffAtTheTimeout(t *testing.T) {
