Start no dispatcher while the manager closes

Callers and operators could see: a host that does not end its stop.

Cause: a dispatcher that was started between the begin of Close and the end of the watching task was registered but never ran, and the task waited for its end for good. It could happen before, if a change arrived in that moment; since the last host of a domain dispatches while it leaves, it is likelier.

Change: after Close no dispatcher is registered. TestNoDispatcherStartsAfterClose checks the registration; no test closes a manager at that very moment.

--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -49,3 +49,14 @@
 	is.Equal(fastest.currentResidual(now), fast.currentResidual(now))
 	is.True(fast.currentResidual(now) > 0.8)
 }
+
+// Guards against a host that never ends its stop: a dispatcher that is started while the manager closes does not run, and nothing may
+// wait for its end.
+func TestNoDispatcherStartsAfterClose(t *testing.T) {
+	is := is.New(t)
+	m := &Manager{dispatchers: map[string]*dispatcher{}}
+	is.True(m.addDispatcher("s", &dispatcher{}))
+	m.closed = true
+	is.True(!m.addDispatcher("t", &dispatcher{}))
+	is.Equal(len(m.running()), 1)
+}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -251,11 +251,11 @@
 	}
 	id := dispatcherID{host: m.self.Host, incarnation: m.self.Incarnation, term: m.state(service).nextTerm()}
 	d := newDispatcher(m, service, id)
-	m.mu.Lock()
-	m.dispatchers[service] = d
-	m.mu.Unlock()
+	if !m.addDispatcher(service, d) {
+		return
+	}
 	log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).Msg("dispatcher starts")
-	m.spawn(func() {
+	m.group.Go(func() {
 		d.run()
 		if d.superseded {
 			log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).
@@ -265,6 +265,17 @@
 	})
 }
 
+// addDispatcher adds a dispatcher to those that run. It returns false after Close, because the dispatcher would never run, and
+// stopDispatcher would wait for its end. It is called in a goroutine that Close waits for.
+func (m *Manager) addDispatcher(service string, d *dispatcher) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.closed {
+		m.dispatchers[service] = d
+	}
+	return !m.closed
+}
+
 func (m *Manager) inBackoff(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
