Show the hang of a stop that waits for a dispatcher that never ran

Change: TestStopDoesNotWaitForADispatcherThatNeverRan calls startDispatcher and stopDispatcher on a closed manager. The other test stays.

It passes with the fix.

--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
@@ -60,3 +61,21 @@
 	is.True(!m.addDispatcher("t", &dispatcher{}))
 	is.Equal(len(m.running()), 1)
 }
+
+// Guards against the same hang in the stop itself: a dispatcher that was to start during Close must not keep its stop waiting.
+func TestStopDoesNotWaitForADispatcherThatNeverRan(t *testing.T) {
+	is := is.New(t)
+	m := &Manager{scope: tally.NoopScope, dispatchers: map[string]*dispatcher{}, clientStates: map[string]*clientState{}, closed: true}
+	m.startDispatcher("s")
+	is.Equal(len(m.running()), 0)
+	stopped := make(chan struct{})
+	go func() {
+		m.stopDispatcher("s")
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the stop waits for a dispatcher that never ran")
+	}
+}
