--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,11 +121,26 @@
 
 // startTarget starts a target and returns its configuration.
 func (f *fleet) startTarget(name, service, domain string, slots int) *configv1.Object {
+	f.t.Helper()
+	return f.startTargetWithExit(name, service, domain, slots, nil)
+}
+
+// startTargetWithExit starts a target that closes its listener and its connections on a request with crash=1, after a call of exit.
+func (f *fleet) startTargetWithExit(name, service, domain string, slots int, exit func()) *configv1.Object {
 	f.t.Helper()
 	f.next++
 	address := f.ip(10+f.next) + ":9000"
-	f.targets[name] = target.New(target.Options{Name: name, Slots: slots})
-	f.serve(address, f.targets[name])
+	var server atomic.Pointer[http.Server]
+	var once sync.Once
+	f.targets[name] = target.New(target.Options{Name: name, Slots: slots, Exit: func(int) {
+		once.Do(func() {
+			if exit != nil {
+				exit()
+			}
+			_ = server.Load().Close()
+		})
+	}})
+	server.Store(f.serve(address, f.targets[name]))
 	return &configv1.Object{Kind: &configv1.Object_Target{Target: &configv1.Target{
 		Name: name, Service: service, FailureDomain: domain, Address: address, Slots: uint32(slots), MaxConnections: 800,
 		State: configv1.TargetState_TARGET_STATE_ACTIVE,
--- a/pkg/permit/helper_test.go
+++ b/pkg/permit/helper_test.go
@@ -58,6 +58,18 @@
 	})
 }
 
+// addDomain starts another failure domain of hosts with the same configuration.
+func (d *domain) addDomain(name string, hosts int) *permittest.Cluster {
+	c := permittest.NewCluster(d.Network, d.Store, name)
+	d.Join(c)
+	for i := range hosts {
+		c.Add(fmt.Sprintf("%s-h%d", name, i))
+	}
+	c.StartAll()
+	time.Sleep(time.Second) // the dispatchers start
+	return c
+}
+
 // ownerAndOthers returns the host that owns the dispatcher of a service, and the other hosts in rendezvous order.
 func (d *domain) ownerAndOthers(service string) (owner *permittest.Host, others []*permittest.Host) {
 	byName := map[string]*permittest.Host{}
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -31,6 +31,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]*Host
+	// others are the other failure domains. Their running hosts are in the views of all hosts.
+	others []*Cluster
 }
 
 // NewCluster returns a cluster without hosts.
@@ -38,6 +40,23 @@
 	return &Cluster{Network: network, Store: store, Domain: domain, hosts: map[string]*Host{}}
 }
 
+// Join makes the hosts of two failure domains known to each other. The clusters must share their network and store.
+func (c *Cluster) Join(other *Cluster) {
+	c.others = append(c.others, other)
+	other.others = append(other.others, c)
+}
+
+// otherMembers returns the running hosts of the other failure domains.
+func (c *Cluster) otherMembers() []membership.Member {
+	var list []membership.Member
+	for _, other := range c.others {
+		for _, h := range other.Hosts() {
+			list = append(list, h.Member)
+		}
+	}
+	return list
+}
+
 // Host is one incarnation of a host. It implements membership.View.
 type Host struct {
 	*permit.Manager
@@ -265,15 +284,17 @@
 }
 
 // Domain implements membership.View.
-func (h *Host) Domain(string) []membership.Member {
-	return slices.DeleteFunc(h.All(), func(m membership.Member) bool { return m.State == membership.StateLeaving })
+func (h *Host) Domain(failureDomain string) []membership.Member {
+	return slices.DeleteFunc(h.All(), func(m membership.Member) bool {
+		return m.State == membership.StateLeaving || m.FailureDomain != failureDomain
+	})
 }
 
 // All implements membership.View.
 func (h *Host) All() []membership.Member {
+	list := h.cluster.otherMembers()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := make([]membership.Member, 0, len(h.peers))
 	for _, p := range h.peers {
 		if p.member.State != membership.StateDead {
 			list = append(list, p.member)
@@ -285,6 +306,17 @@
 
 // Lookup implements membership.View.
 func (h *Host) Lookup(host string) (membership.Member, bool) {
+	if m, ok := h.lookupOwnDomain(host); ok {
+		return m, true
+	}
+	others := h.cluster.otherMembers()
+	if i := slices.IndexFunc(others, func(m membership.Member) bool { return m.Host == host }); i >= 0 {
+		return others[i], true
+	}
+	return membership.Member{}, false
+}
+
+func (h *Host) lookupOwnDomain(host string) (membership.Member, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.peers[host]
--- a/pkg/permit/permittest/config.go
+++ b/pkg/permit/permittest/config.go
@@ -1,6 +1,7 @@
 package permittest
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
@@ -13,9 +14,11 @@
 	Domain  string
 	Targets int
 	Slots   int
+	// TargetPrefix starts the names of the targets; empty means the name of the service.
+	TargetPrefix string
 }
 
-// Objects returns the configuration objects of a service and of its targets, which are named <service>-<number> from 0.
+// Objects returns the configuration objects of a service and of its targets, which are named <prefix>-<number> from 0.
 func Objects(s Service) []*configv1.Object {
 	list := []*configv1.Object{{Kind: &configv1.Object_Service{Service: &configv1.Service{Name: s.Name}}}}
 	for i := range s.Targets {
@@ -27,7 +30,7 @@
 // TargetObject returns the configuration object of target number i of a service.
 func TargetObject(s Service, i int, state configv1.TargetState) *configv1.Object {
 	return &configv1.Object{Kind: &configv1.Object_Target{Target: &configv1.Target{
-		Name: fmt.Sprintf("%s-%d", s.Name, i), Service: s.Name, FailureDomain: s.Domain,
+		Name: fmt.Sprintf("%s-%d", cmp.Or(s.TargetPrefix, s.Name), i), Service: s.Name, FailureDomain: s.Domain,
 		Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Slots: uint32(s.Slots), State: state,
 	}}}
 }
--- a/pkg/permit/poison_test.go
+++ b/pkg/permit/poison_test.go
@@ -16,11 +16,16 @@
 func (d *domain) loseConnection(h *permittest.Host, fingerprint uint64, exclude ...string) (string, error) {
 	req := d.request("lookup", time.Second)
 	req.Fingerprint, req.Attempt, req.ExcludeTargets = fingerprint, len(exclude), exclude
+	return d.lose(h, req)
+}
+
+// lose sends a request whose connection is lost, and returns the target that it was sent to.
+func (d *domain) lose(h *permittest.Host, req permit.Request) (string, error) {
 	g, err := h.Acquire(context.Background(), req)
 	if err != nil {
 		return "", err
 	}
-	g.Release(permit.Observation{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST, Total: time.Millisecond})
+	g.Release(permit.Observation{Outcome: lost, Total: time.Millisecond})
 	time.Sleep(10 * delay)
 	return g.Target, nil
 }
@@ -80,6 +85,112 @@
 	})
 }
 
+// Guards against an innocent request that is refused as poison because it was lost beside one copy of a poison request and then ran
+// beside another copy, which had started before.
+func TestInnocentBesideCopiesOfPoison(t *testing.T) {
+	three := permittest.Service{Name: "lookup", Domain: "d1", Targets: 3, Slots: 2}
+	run(t, 1, 2, permittest.Objects(three), func(d *domain, is *is.I) {
+		const poison, innocent = 7, 8
+		h := d.Hosts()[0]
+		acquire := func(fingerprint uint64, exclude ...string) (*permit.Grant, error) {
+			req := d.request("lookup", time.Second)
+			req.Fingerprint, req.ExcludeTargets = fingerprint, exclude
+			return h.Acquire(context.Background(), req)
+		}
+		loseAll := func(grants ...*permit.Grant) {
+			for _, g := range grants {
+				g.Release(permit.Observation{Outcome: lost, Total: time.Millisecond})
+			}
+			time.Sleep(10 * delay)
+		}
+		copies := map[string]*permit.Grant{}
+		for range 3 {
+			g, err := acquire(poison)
+			is.NoErr(err)
+			copies[g.Target] = g
+		}
+		is.Equal(len(copies), 3) // one at each target
+		first, err := acquire(innocent)
+		is.NoErr(err)
+		loseAll(copies[first.Target], first)
+		if second, err := acquire(innocent, first.Target); err == nil {
+			loseAll(copies[second.Target], second)
+		}
+		_, err = acquire(innocent)
+		is.True(reason(err) != peerv1.RefusalReason_REFUSAL_REASON_POISON)
+	})
+}
+
+// Guards against a poison request that ends one more target each time its dispatcher is replaced, because the first strike is forgotten.
+func TestStrikesSurviveFailover(t *testing.T) {
+	run(t, 1, 4, permittest.Objects(lookup), func(d *domain, is *is.I) {
+		owner, others := d.ownerAndOthers("lookup")
+		first, err := d.loseConnection(others[0], 7)
+		is.NoErr(err)
+		d.Kill(owner)
+		time.Sleep(4 * time.Second)
+		other := d.request("lookup", time.Second)
+		other.Fingerprint, other.ExcludeTargets = 7, []string{first}
+		_, err = d.lose(others[1], other)
+		is.NoErr(err)
+		_, err = d.loseConnection(others[1], 7)
+		is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+	})
+}
+
+// Guards against a poison request that ends the same target again and again: a target may start again under its name.
+func TestStrikesCountAtRestartedTarget(t *testing.T) {
+	one := permittest.Service{Name: "lookup", Domain: "d1", Targets: 1, Slots: 4}
+	run(t, 1, 2, permittest.Objects(one), func(d *domain, is *is.I) {
+		for range 2 {
+			_, err := d.loseConnection(d.Hosts()[0], 7)
+			is.NoErr(err)
+			time.Sleep(3 * time.Second) // the target starts again
+		}
+		_, err := d.loseConnection(d.Hosts()[0], 7)
+		is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+	})
+}
+
+// Guards against a poison request that ends one more target in each shard of a large service.
+func TestStrikesAreSharedByShards(t *testing.T) {
+	large := permittest.Service{Name: "lookup", Domain: "d1", Targets: 40, Slots: 2}
+	run(t, 1, 4, permittest.Objects(large), func(d *domain, is *is.I) {
+		h := d.Hosts()[0]
+		ended := 0
+		for object := range uint64(16) {
+			req := d.request("lookup", time.Second)
+			req.Fingerprint, req.ObjectHash = 7, object+1
+			if _, err := d.lose(h, req); err == nil {
+				ended++
+			} else {
+				is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+			}
+			time.Sleep(100 * delay)
+		}
+		is.Equal(ended, 2)
+	})
+}
+
+// Guards against a poison request that ends the targets of one failure domain after those of another, because they do not share what
+// they know.
+func TestStrikesAreSharedByFailureDomains(t *testing.T) {
+	elsewhere := permittest.Service{Name: "lookup", Domain: "d2", Targets: 3, Slots: 4, TargetPrefix: "elsewhere"}
+	objects := append(permittest.Objects(lookup), permittest.Objects(elsewhere)...)
+	run(t, 1, 3, objects, func(d *domain, is *is.I) {
+		second := d.addDomain("d2", 3)
+		defer second.Close()
+		first, err := d.loseConnection(d.Hosts()[0], 7)
+		is.NoErr(err)
+		_, err = d.loseConnection(second.Hosts()[0], 7, first)
+		is.NoErr(err)
+		for _, h := range append(d.Hosts(), second.Hosts()...) {
+			_, err = d.loseConnection(h, 7)
+			is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+		}
+	})
+}
+
 // Guards against retries that multiply the load: they are limited to a tenth of the first attempts once the saved tokens are
 // spent.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
