Keep a suspect request away from copies of itself and of other suspects that run already

Callers saw innocent requests refused as poison, for ten minutes. A target that ends breaks all of its requests, and each gets a strike; from then on at most one suspect was to run at a target. But a permit was marked as a suspect's when it was granted, so copies of the poison request that ran at other targets at that moment did not count: an innocent request was sent beside one of them, lost again, and its second strike made it poison, while the copy's own strike did not count because it had started before the first.

The dispatcher now looks at the permits in use when it chooses a target for a suspect: none that runs another suspect, and none at all while another copy of the same request runs, so that a poison request ends one target at a time. The marks and counters of permits are gone.

--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -37,9 +37,10 @@
 // target that is due for a probe takes precedence.
 func (d *dispatcher) chooseTarget(w *waiter, now time.Time) *target {
 	var best *target
+	restrictions := d.trialOf(w, now)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) ||
-			d.avoids(t, w, now) || !d.allowsSuspect(t, w, now) || !t.allowsColdRequest(now) {
+			d.avoids(t, w, now) || !restrictions.allows(t) || !t.allowsColdRequest(now) {
 			continue
 		}
 		if t.health.quarantined || t.health.down {
@@ -58,7 +59,7 @@
 	d.lastPermitID++
 	p := &permit{
 		key: permitKey{d.id, d.lastPermitID}, target: t, holder: w.from, requestID: w.req.ID, route: w.req.Route,
-		fingerprint: w.req.Fingerprint, suspect: d.poison.isSuspect(w.req.Fingerprint, now), class: w.class,
+		fingerprint: w.req.Fingerprint, class: w.class,
 		granted: now, expires: w.deadline.Add(expiryGrace),
 	}
 	if !w.req.Objective.IsZero() {
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -42,14 +42,23 @@
 
 // Join makes the hosts of two failure domains known to each other. The clusters must share their network and store.
 func (c *Cluster) Join(other *Cluster) {
+	c.addOther(other)
+	other.addOther(c)
+}
+
+func (c *Cluster) addOther(other *Cluster) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.others = append(c.others, other)
-	other.others = append(other.others, c)
 }
 
 // otherMembers returns the running hosts of the other failure domains.
 func (c *Cluster) otherMembers() []membership.Member {
+	c.mu.Lock()
+	others := slices.Clone(c.others)
+	c.mu.Unlock()
 	var list []membership.Member
-	for _, other := range c.others {
+	for _, other := range others {
 		for _, h := range other.Hosts() {
 			list = append(list, h.Member)
 		}
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -132,12 +132,33 @@
 	line.Msg("connection to a target was lost")
 }
 
-// allowsSuspect reports whether a request may run at a target together with the suspect requests there. At most one suspect
-// request runs at a target: if the target fails, the other requests in flight there get their first strike and not their second.
-func (d *dispatcher) allowsSuspect(t *target, w *waiter, now time.Time) bool {
-	return t.suspectRequests == 0 || !d.poison.isSuspect(w.req.Fingerprint, now)
+// trial holds the restrictions for a request that may be poison. It runs at one target at a time, and not beside another such request:
+// if the target ends, the innocent requests there get their first strike and not their second.
+type trial struct {
+	// running is set while another copy of the request is running.
+	running bool
+	// occupied holds the targets that run other suspects.
+	occupied map[*target]bool
 }
 
+// trialOf returns the restrictions for a request; there are none if it is no suspect.
+func (d *dispatcher) trialOf(w *waiter, now time.Time) trial {
+	if !d.poison.isSuspect(w.req.Fingerprint, now) {
+		return trial{}
+	}
+	t := trial{occupied: map[*target]bool{}}
+	for _, p := range d.slots.permits {
+		t.running = t.running || p.fingerprint == w.req.Fingerprint
+		if d.poison.isSuspect(p.fingerprint, now) {
+			t.occupied[p.target] = true
+		}
+	}
+	return t
+}
+
+// allows reports whether the request may run at a target.
+func (t trial) allows(target *target) bool { return !t.running && !t.occupied[target] }
+
 // addPoison makes this host refuse a fingerprint without a call to the dispatcher.
 func (s *clientState) addPoison(fingerprint uint64, left time.Duration) {
 	s.mu.Lock()
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -23,9 +23,6 @@
 	usedLong  int
 	longSlots int
 	health    targetHealth
-	// suspectRequests counts the permits at this target for requests that may be poison: their fingerprint lost the
-	// connection at another target before.
-	suspectRequests int
 	// closed is set while the target is draining or no longer configured. It then gets no new permits.
 	closed bool
 	// config is the configuration that was applied last.
@@ -81,8 +78,6 @@
 	class       configv1.RequestClass
 	// probe is set if the request probes a target that is quarantined or unreachable.
 	probe bool
-	// suspect is set if the request may be poison.
-	suspect bool
 	// objective is set for a request with a latency objective. warm (the target probably has the object in its cache), cold
 	// (the target is filling its caches) and slowdown (as reported by the target) describe the target when the permit was
 	// granted.
@@ -214,9 +209,6 @@
 // occupy adds a permit without checking that a slot is free: a permit recovered from an earlier dispatcher is in use already.
 func (s *slotTable) occupy(p *permit) {
 	p.target.used++
-	if p.suspect {
-		p.target.suspectRequests++
-	}
 	if p.class == classLong {
 		p.target.usedLong++
 	}
@@ -234,9 +226,6 @@
 	heap.Remove(&s.expiries, p.heapIndex)
 	p.target.used--
 	p.target.health.remove(p)
-	if p.suspect {
-		p.target.suspectRequests--
-	}
 	if p.class == classLong {
 		p.target.usedLong--
 	}
