Share what is known about poison requests among all hosts

Callers' requests failed because one poison request ended targets in one failure domain after the other: strikes and verdicts belonged to the dispatcher of one service or shard in one failure domain; strikes were lost with it, verdicts with the hosts of the domain; a target that started again under its name got no second strike.

Knowledge about a request now belongs to the host (pkg/poison): a record for each fingerprint with the crashes since the last answer. Records merge in any order. The host of a dispatcher sends a change to the hosts of its failure domain after 5 ms (answers: 200 ms), and to the relays of the other ones, which pass it on; one task for each receiver repeats a failed call until the host is gone. A starting host, a dispatcher that takes over, and a relay to which a failure domain appears again request all records. Two crashes refuse a request for 10 s and three for 10 minutes, instead of two for 10 minutes: two targets may end for another reason, and an innocent request that ran at both should not be refused for so long. Copies that ran at the same time count once for each failure domain, twice at most. Only an answer clears a request: a time-out counted as one before.

Evidence: TestStrikesSurviveFailover, ...CountAtRestartedTarget, ...AreSharedByShards, ...AreSharedByFailureDomains failed before and pass; TestStrikesReachHostsThatWereAway covers a lost and a cut-off failure domain.

--- a/pkg/membership/summary.go
+++ b/pkg/membership/summary.go
@@ -110,25 +110,28 @@
 	}
 }
 
-// relays returns the relays of a failure domain in order of rank. If all hosts of the domain are leaving, leaving hosts are
-// relays: otherwise no host would inform the other failure domains.
-func (v *snapshot) relays(failureDomain string) []Member {
+// Relays returns the relays of a failure domain in order of rank, from members that are not dead. If all hosts of the domain are
+// leaving, leaving hosts are relays: otherwise no host would inform the other failure domains.
+func Relays(members []Member, failureDomain string) []Member {
+	byName := map[string]Member{}
 	var hosts, leaving []string
-	for _, m := range v.all {
+	for _, m := range members {
 		switch {
 		case m.FailureDomain != failureDomain:
+			continue
 		case m.State == StateLeaving:
 			leaving = append(leaving, m.Host)
 		default:
 			hosts = append(hosts, m.Host)
 		}
+		byName[m.Host] = m
 	}
 	if len(hosts) == 0 {
 		hosts = leaving
 	}
 	var list []Member
 	for _, host := range rendezvous.Rank("relay/"+failureDomain, hosts) {
-		list = append(list, v.byName[host])
+		list = append(list, byName[host])
 		if len(list) == relaysPerDomain {
 			break
 		}
@@ -136,6 +139,8 @@
 	return list
 }
 
+func (v *snapshot) relays(failureDomain string) []Member { return Relays(v.all, failureDomain) }
+
 // relayRank returns the rank of this host among the relays of its failure domain, or -1 if it is not a relay or has just
 // resumed from a pause.
 func (t *Tracker) relayRank(v *snapshot) int {
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -224,6 +224,7 @@
 		Outcome: r.observation.Outcome, FirstByteUs: uint64(r.observation.FirstByte.Microseconds()),
 		TotalUs: uint64(r.observation.Total.Microseconds()), AnswerBytes: r.observation.Bytes,
 		Fingerprint: r.fingerprint, Route: r.route, SlowdownPercent: uint32(max(0, r.observation.SlowdownPercent)),
+		TargetAlive: r.observation.TargetAlive,
 	}
 }
 
@@ -255,12 +256,5 @@
 	}
 	ctx, cancelCall := context.WithTimeout(m.ctx, releaseTimeout)
 	defer cancelCall()
-	resp := &peerv1.ReleaseResponse{}
-	if m.opts.Caller.Call(ctx, host.Address(), methodRelease, msg, resp) != nil {
-		return false
-	}
-	for _, fingerprint := range resp.GetPoison() {
-		m.state(msg.GetService()).addPoison(fingerprint, poisonTTL)
-	}
-	return true
+	return m.opts.Caller.Call(ctx, host.Address(), methodRelease, msg, &peerv1.ReleaseResponse{}) == nil
 }
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -27,9 +27,7 @@
 	fence dispatcherID
 	// newestSeen is the newest dispatcher known to this host.
 	newestSeen dispatcherID
-	// poison holds the fingerprints that this host refuses as poison.
-	poison refusalExpiries
-	held   map[permitKey]*heldPermit
+	held       map[permitKey]*heldPermit
 }
 
 // heldPermit is a permit that this host holds.
@@ -38,6 +36,8 @@
 	target   string
 	class    configv1.RequestClass
 	deadline time.Time
+	// fingerprint is that of the request that uses the permit.
+	fingerprint uint64
 }
 
 // state returns the state of a service and creates it on first use.
@@ -46,7 +46,7 @@
 	defer m.mu.Unlock()
 	s := m.clientStates[service]
 	if s == nil {
-		s = &clientState{held: map[permitKey]*heldPermit{}, poison: refusalExpiries{}}
+		s = &clientState{held: map[permitKey]*heldPermit{}}
 		m.clientStates[service] = s
 	}
 	return s
@@ -56,12 +56,12 @@
 // *RefusedError, a *RedirectError, or the cancellation of ctx.
 func (m *Manager) Acquire(ctx context.Context, req Request) (*Grant, error) {
 	began := time.Now()
-	grant, err := m.acquire(ctx, req)
+	grant, err := m.acquire(ctx, req, began)
 	m.acquired.count(err, time.Since(began))
 	return grant, err
 }
 
-func (m *Manager) acquire(ctx context.Context, req Request) (*Grant, error) {
+func (m *Manager) acquire(ctx context.Context, req Request, began time.Time) (*Grant, error) {
 	snap := m.opts.Store.Current()
 	if snap.Service(req.Service) == nil {
 		return nil, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_UNKNOWN_SERVICE, noTargetRetryAfter)
@@ -70,7 +70,7 @@
 	ctx, cancelWait := context.WithDeadline(ctx, req.Deadline)
 	defer cancelWait()
 	state := m.state(req.Service)
-	if left := state.poisonRemaining(req.Fingerprint); left > 0 {
+	if left := m.poison.RefusedFor(req.Fingerprint, began); left > 0 {
 		return nil, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_POISON, left)
 	}
 	for attempt := 0; ; {
@@ -216,9 +216,6 @@
 		}
 		return nil, unansweredError(ctx, reason), true
 	}
-	if result.refusal != nil && result.refusal.Reason == peerv1.RefusalReason_REFUSAL_REASON_POISON {
-		state.addPoison(req.Fingerprint, result.refusal.RetryAfter)
-	}
 	if result.refusal != nil && result.refusal.Reason != peerv1.RefusalReason_REFUSAL_REASON_NOT_DISPATCHER {
 		return nil, result.refusal, true
 	}
@@ -248,7 +245,9 @@
 	}
 	known, ok := m.opts.View.Lookup(host.Host)
 	replaced := ok && known.Incarnation > result.key.dispatcher.incarnation
-	held := &heldPermit{key: result.key, target: result.grant.Target, class: result.grant.Class, deadline: req.Deadline}
+	held := &heldPermit{
+		key: result.key, target: result.grant.Target, class: result.grant.Class, deadline: req.Deadline, fingerprint: req.Fingerprint,
+	}
 	if replaced || !state.addHeld(held) {
 		m.returnUnused(req, result)
 		return nil, nil, false
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -62,7 +62,6 @@
 	classifier   classifier
 	latency      latency
 	retryBudget  tokenBucket
-	poison       poisonTracker
 	lossLog      *logging.Limiter
 	// slowSince is when the service as a whole became slow; zero if it is not slow.
 	slowSince   time.Time
@@ -97,10 +96,10 @@
 		manager: m, id: id, service: service,
 		stop: make(chan struct{}), done: make(chan struct{}), events: make(chan event, eventBuffer),
 		slots: newSlotTable(), latency: newLatency(), hedgeBudget: tokenBucket{burst: hedgeBurst},
-		retryBudget: newRetryBudget(id, m.opts.RetryBurst), poison: newPoisonTracker(),
-		lossLog:    logging.NewLimiter(lossLinesPerSecond),
-		classifier: classifier{routes: map[string]*routeStats{}},
-		followers:  map[string]*follower{}, releasedEarly: map[permitKey]bool{},
+		retryBudget: newRetryBudget(id, m.opts.RetryBurst),
+		lossLog:     logging.NewLimiter(lossLinesPerSecond),
+		classifier:  classifier{routes: map[string]*routeStats{}},
+		followers:   map[string]*follower{}, releasedEarly: map[permitKey]bool{},
 		recentRefusals: recentRefusals{refusedAt: map[uint32]time.Time{}},
 		serviceTimes:   map[string]*serviceTime{}, cacheModel: newCacheModel(),
 		metrics: newDispatcherMetrics(m.scope, service),
@@ -225,6 +224,7 @@
 	for d.slots.popExpired(now) != nil {
 	}
 	d.refuseOverdue(now)
+	d.refusePoison(now)
 	d.grantWaiting(now)
 	d.grantObjectives(now)
 	d.updateGauges(now)
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -21,7 +21,7 @@
 	for i := 0; i < q.len(); {
 		w := q.waiting()[i]
 		t := d.chooseTarget(w, now)
-		if t == nil && len(w.req.ExcludeTargets) == 0 && !d.poison.isSuspect(w.req.Fingerprint, now) {
+		if t == nil && len(w.req.ExcludeTargets) == 0 && !d.manager.poison.IsSuspect(w.req.Fingerprint, now) {
 			return
 		}
 		if t == nil || !d.followers[w.from.host].isFollowing(w.from) {
--- a/pkg/permit/handlers.go
+++ b/pkg/permit/handlers.go
@@ -62,8 +62,7 @@
 }
 
 // handleRelease serves the RPC permit.release. A host that does not run the dispatcher returns an error, so that the holder tries
-// another host. A release that reports a lost connection is answered only once the dispatcher has processed it; the answer lists
-// the fingerprints that this showed to be poison.
+// another host.
 func (m *Manager) handleRelease(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	msg := &peerv1.ReleaseRequest{}
 	if err := proto.Unmarshal(payload, msg); err != nil {
@@ -73,23 +72,10 @@
 	if d == nil {
 		return nil, steperr.New("release permit", m.self.Host, "not the dispatcher of service %s", msg.GetService())
 	}
-	e := releaseEvent(msg, from)
-	r, ok := e.(*release)
-	if ok && msg.GetOutcome() == peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST {
-		r.poison = make(chan []uint64, 1)
-	}
-	if !d.send(e) {
-		return nil, steperr.New("release permit", m.self.Host, "dispatcher of service %s has stopped", msg.GetService())
-	}
-	if r == nil || r.poison == nil {
-		return &peerv1.ReleaseResponse{}, nil
-	}
-	select {
-	case found := <-r.poison:
-		return &peerv1.ReleaseResponse{Poison: found}, nil
-	case <-d.done:
+	if !d.send(releaseEvent(msg, from)) {
 		return nil, steperr.New("release permit", m.self.Host, "dispatcher of service %s has stopped", msg.GetService())
 	}
+	return &peerv1.ReleaseResponse{}, nil
 }
 
 // releaseEvent returns the event of a release request: an abandonRequest if it has a request ID, else the release of a permit.
@@ -106,7 +92,7 @@
 			Total:     time.Duration(msg.GetTotalUs()) * time.Microsecond,
 			Bytes:     msg.GetAnswerBytes(),
 
-			SlowdownPercent: int(msg.GetSlowdownPercent()),
+			SlowdownPercent: int(msg.GetSlowdownPercent()), TargetAlive: msg.GetTargetAlive(),
 		},
 	}
 }
--- a/pkg/permit/hedge.go
+++ b/pkg/permit/hedge.go
@@ -46,7 +46,8 @@
 
 // hedgeAfter returns the delay after which the holder of a permit may send a hedged request, or 0 if it may not send one.
 func (d *dispatcher) hedgeAfter(w *waiter) time.Duration {
-	if w.req.Command || w.req.Hedge || w.class != classShort || d.hedgeBudget.tokens < 1 || d.serviceIsSlow() {
+	if w.req.Command || w.req.Hedge || w.class != classShort || d.hedgeBudget.tokens < 1 || d.serviceIsSlow() ||
+		d.manager.poison.IsSuspect(w.req.Fingerprint, time.Now()) {
 		return 0
 	}
 	return d.latency.slow
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -17,6 +17,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/poison"
 )
 
 // Options holds the dependencies and parameters of a Manager.
@@ -73,6 +74,7 @@
 	// scope is the metrics scope of the package; acquired counts the results of Acquire.
 	scope    tally.Scope
 	acquired acquireMetrics
+	poison   *poison.Registry
 
 	mu     sync.Mutex
 	closed bool
@@ -119,7 +121,8 @@
 		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll, scope: scope, acquired: newAcquireMetrics(scope),
 		dispatchers: map[string]*dispatcher{}, clientStates: map[string]*clientState{},
 		knownHosts: map[string]bool{o.View.Self().Host: true}, backoffs: map[string]restartBackoff{},
-		wake: make(chan struct{}, 1),
+		wake:   make(chan struct{}, 1),
+		poison: poison.New(poison.Options{View: o.View, Caller: o.Caller, Registrar: o.Registrar, Scope: o.Scope}),
 	}
 	o.Registrar.Handle(methodAcquire, m.handleAcquire)
 	o.Registrar.Handle(methodRelease, m.handleRelease)
@@ -128,7 +131,10 @@
 }
 
 // Start runs the dispatchers of this host, in the background, until Close.
-func (m *Manager) Start() { m.spawn(m.watch) }
+func (m *Manager) Start() {
+	m.poison.Start()
+	m.spawn(m.watch)
+}
 
 // Close stops the dispatchers, refuses the waiting requests and returns when all goroutines have ended. Permits in use stay
 // valid.
@@ -138,6 +144,7 @@
 	m.mu.Unlock()
 	m.cancel()
 	m.group.Wait()
+	m.poison.Close()
 }
 
 // spawn runs f in a goroutine that Close waits for. After Close it does nothing and returns false, because the wait group must
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -22,8 +22,7 @@
 	Class configv1.RequestClass
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
-	// Fingerprint is a hash of service, method, path, query and body, by which poison requests (ones that crash targets) are
-	// recognised.
+	// Fingerprint is a hash of the request's content, by which poison requests (ones that crash targets) are recognised.
 	Fingerprint uint64
 	// Command is set for a request that must not be executed twice. It is neither hedged nor sent to a target in quarantine.
 	Command bool
@@ -80,6 +79,8 @@
 	Total     time.Duration
 	// Bytes is the size of the response.
 	Bytes uint64
+	// TargetAlive is set if the connection was lost but the target has accepted another one since.
+	TargetAlive bool
 	// SlowdownPercent is the service time that the target reports, as a percentage of its normal one; 0 if unknown.
 	SlowdownPercent int
 }
--- a/pkg/permit/poison_test.go
+++ b/pkg/permit/poison_test.go
@@ -192,6 +192,47 @@
 	})
 }
 
+// Guards against a poison request that is accepted again in a failure domain all of whose hosts were lost, or that was cut off when the
+// others learned of it.
+func TestStrikesReachHostsThatWereAway(t *testing.T) {
+	elsewhere := permittest.Service{Name: "lookup", Domain: "d2", Targets: 3, Slots: 4, TargetPrefix: "elsewhere"}
+	objects := append(permittest.Objects(lookup), permittest.Objects(elsewhere)...)
+	for _, cutOff := range []bool{true, false} {
+		run(t, 1, 3, objects, func(d *domain, is *is.I) {
+			second := d.addDomain("d2", 3)
+			defer second.Close()
+			setCut := func(on bool) {
+				for _, a := range d.Hosts() {
+					for _, b := range second.Hosts() {
+						d.Network.Cut(a.Member.Host, b.Member.Host, on)
+						d.Network.Cut(b.Member.Host, a.Member.Host, on)
+					}
+				}
+			}
+			setCut(cutOff)
+			first, err := d.loseConnection(d.Hosts()[0], 7)
+			is.NoErr(err)
+			_, err = d.loseConnection(d.Hosts()[0], 7, first)
+			is.NoErr(err)
+			time.Sleep(time.Second)
+			setCut(false)
+			if !cutOff {
+				names := second.Hosts()
+				for _, h := range names {
+					second.Kill(h)
+				}
+				for _, h := range names {
+					second.Add(h.Member.Host)
+				}
+				second.StartAll()
+			}
+			time.Sleep(3 * time.Second)
+			_, err = d.loseConnection(second.Hosts()[0], 7)
+			is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+		})
+	}
+}
+
 // Guards against retries that multiply the load: they are limited to a tenth of the first attempts once the saved tokens are
 // spent.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -127,9 +127,7 @@
 	for _, h := range r.resp.GetHeld() {
 		d.adoptPermit(r.from, h, now)
 	}
-	for _, fingerprint := range r.resp.GetPoison() {
-		d.poison.refusedUntil.add(fingerprint, now.Add(poisonTTL))
-	}
+	d.manager.poison.Merge(r.resp.GetSuspects())
 	d.activateIfRecovered()
 }
 
@@ -140,7 +138,7 @@
 		return
 	}
 	d.slots.occupy(&permit{
-		key: key, target: d.slots.target(h.GetTarget()), holder: from, class: h.GetClass(), granted: now,
+		key: key, target: d.slots.target(h.GetTarget()), holder: from, class: h.GetClass(), granted: now, fingerprint: h.GetFingerprint(),
 		expires: now.Add(time.Duration(h.GetTimeoutMs())*time.Millisecond + expiryGrace),
 	})
 }
@@ -266,7 +264,7 @@
 	return resp, nil
 }
 
-// follow makes this host follow a dispatcher and returns the permits that the host holds and the known poison fingerprints. If
+// follow makes this host follow a dispatcher and returns the permits that the host holds and what it knows about suspect requests. If
 // the host follows a newer dispatcher already, it keeps that one and returns its ID.
 func (m *Manager) follow(service string, by dispatcherID) *peerv1.RecoverResponse {
 	now := time.Now()
@@ -277,17 +275,12 @@
 		return &peerv1.RecoverResponse{Newer: s.fence.proto()}
 	}
 	s.fence = by
-	resp := &peerv1.RecoverResponse{}
+	resp := &peerv1.RecoverResponse{Suspects: m.poison.Records()}
 	for _, h := range s.inUse(now) {
 		resp.Held = append(resp.Held, &peerv1.HeldPermit{
 			Id: h.key.id, Dispatcher: h.key.dispatcher.proto(), Target: h.target, Class: h.class,
-			TimeoutMs: ceilMilliseconds(h.deadline.Sub(now)),
+			TimeoutMs: ceilMilliseconds(h.deadline.Sub(now)), Fingerprint: h.fingerprint,
 		})
 	}
-	for fingerprint := range s.poison {
-		if s.poison.remaining(fingerprint, now) > 0 {
-			resp.Poison = append(resp.Poison, fingerprint)
-		}
-	}
 	return resp
 }
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -66,8 +66,6 @@
 	route       string
 	fingerprint uint64
 	observation Observation
-	// poison, if not nil, receives the fingerprints that are found to be poison because of this release.
-	poison chan []uint64
 }
 
 func (r *release) apply(d *dispatcher, now time.Time) {
@@ -75,16 +73,13 @@
 		d.supersede(r.key.dispatcher)
 	}
 	p := d.slots.free(r.key)
+	d.observeCrash(p, r, now)
 	if p == nil && r.key.dispatcher != d.id {
 		d.releasedEarly[r.key] = true
 	}
 	if p == nil || p.key.dispatcher != d.id {
-		if r.poison != nil {
-			r.poison <- nil
-		}
 		return
 	}
-	d.observeConnectionLoss(p, r, now)
 	d.observe(p, r, now)
 }
 
--- a/pkg/permit/retry.go
+++ b/pkg/permit/retry.go
@@ -47,7 +47,7 @@
 // admitAttempt returns the refusal of a poison request, or of a retry for which the bucket has no token; nil if the attempt may
 // proceed.
 func (d *dispatcher) admitAttempt(w *waiter, now time.Time) *RefusedError {
-	if left := d.poison.refusedUntil.remaining(w.req.Fingerprint, now); left > 0 {
+	if left := d.manager.poison.RefusedFor(w.req.Fingerprint, now); left > 0 {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_POISON, left)
 	}
 	if w.req.Attempt > 0 && !d.retryBudget.take() {
--- a/pkg/permit/retry_test.go
+++ b/pkg/permit/retry_test.go
@@ -9,11 +9,12 @@
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/poison"
 )
 
 // newTestDispatcher returns a dispatcher of a service with the given number of targets and a retry burst of 40.
 func newTestDispatcher(targets int, term uint64) *dispatcher {
-	m := &Manager{scope: tally.NoopScope, opts: Options{
+	m := &Manager{scope: tally.NoopScope, poison: &poison.Registry{}, opts: Options{
 		RetryRatio: 0.2, RetryBurst: 40, FailureDomain: "d", ShiftShare: 0.1, ShiftWindow: time.Second,
 	}}
 	d := newDispatcher(m, "s", dispatcherID{term: term})
