Count a lost connection against a request only if its target accepts no other one

A caller got 422 for a read whose answer two live targets had lost: each lost connection was a strike, whether the target had ended or not, and a response that broke off in the middle counted as an answer that clears the request.

After a lost connection the host opens another one to the target and keeps it for the next request; if the target accepts it within 100 ms, the release says so and the loss is no strike. A response that breaks off before its end is a lost connection too. The price is one connection for each lost one. Limit: a target whose socket a supervisor keeps open while it starts again counts as alive.

TestLostConnectionsTellWhetherTheTargetEnded covers both kinds.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -52,6 +52,10 @@
 	bytes         uint64
 	// info holds the metadata of the target's response header.
 	info dialect.ResponseInfo
+	// acceptsConnections reports whether the target of the permit accepts a new connection.
+	acceptsConnections func() bool
+	// targetEnded is set if the connection was lost and the target accepts no other one.
+	targetEnded bool
 	// permitReleased is set once the permit is released, which may be before the attempt is finished.
 	permitReleased bool
 }
@@ -83,6 +87,9 @@
 		a.targetRequestID = rq.hints.ID
 	}
 	a.ctx, a.cancel = context.WithCancelCause(rq.ctx)
+	a.acceptsConnections = func() bool {
+		return h.targets.Accepts(context.WithoutCancel(rq.ctx), a.grant.Address)
+	}
 	if grant != nil {
 		a.setGrant(rq, grant)
 	}
@@ -115,8 +122,12 @@
 		return
 	}
 	a.permitReleased = true
+	total := time.Since(a.sent)
+	lost := outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST
+	a.targetEnded = lost && !a.acceptsConnections()
 	a.grant.Release(permit.Observation{
-		Outcome: outcome, FirstByte: a.firstByte, Total: time.Since(a.sent), Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
+		Outcome: outcome, FirstByte: a.firstByte, Total: total, Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
+		TargetAlive: lost && !a.targetEnded,
 	})
 }
 
@@ -231,6 +242,7 @@
 		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_UNREACHABLE
 	}
 	a.finish(outcome)
+	f.targetEnded = a.targetEnded
 	return f
 }
 
--- a/pkg/entry/failure.go
+++ b/pkg/entry/failure.go
@@ -37,6 +37,8 @@
 	mayHaveRun bool
 	// notSent is set if nothing was sent. The failure of an earlier attempt that was sent then takes precedence in the refusal.
 	notSent bool
+	// targetEnded is set if the target ended while it ran the attempt.
+	targetEnded bool
 	// outcomeStated is set if another host's refusal stated the outcome.
 	outcomeStated bool
 	retryScope    retryScope
--- a/pkg/entry/pipenet_test.go
+++ b/pkg/entry/pipenet_test.go
@@ -57,6 +57,13 @@
 	return server
 }
 
+// remove makes the network refuse connections to an address.
+func (n *pipeNet) remove(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.hosts, address)
+}
+
 var errRefused = errors.New("connection refused")
 
 func (n *pipeNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
--- a/pkg/entry/prefetch.go
+++ b/pkg/entry/prefetch.go
@@ -52,16 +52,18 @@
 		status: http.StatusBadGateway, reason: reply.ReasonTargetBroken, mayHaveRun: true, retryScope: retryTarget,
 		err: steperr.Wrap(err, "read response", ans.targetName()),
 	}
-	outcome := peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR
+	outcome := peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST
 	switch {
 	case errors.Is(rq.ctx.Err(), context.Canceled):
 		f.status, f.reason, f.retryScope = http.StatusServiceUnavailable, reply.ReasonCallerGone, retryNone
 		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CANCELLED
 	case ans.ctx.Err() != nil:
 		f.status, f.reason, f.retryScope = http.StatusGatewayTimeout, reply.ReasonDeadline, retryNone
+		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR
 	}
 	_ = ans.resp.Body.Close()
 	ans.finish(outcome)
+	f.targetEnded = ans.targetEnded
 	return f
 }
 
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -28,6 +28,8 @@
 	idleMargin = time.Second
 	// dialTimeout limits how long opening a connection may take.
 	dialTimeout = time.Second
+	// acceptTimeout limits how long Accepts waits.
+	acceptTimeout = 100 * time.Millisecond
 	// sweepInterval is the minimum time between two searches for expired idle connections.
 	sweepInterval = time.Second
 )
@@ -79,6 +81,21 @@
 	return resp, nil
 }
 
+// Accepts reports whether a target accepts a new connection, which is kept for the next request. A target that does not answer within
+// acceptTimeout does not.
+func (c *Client) Accepts(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	nc, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	cn := newConn(nc, c, Options{Address: address})
+	cn.reusableUntil = time.Now().Add(idleTimeout)
+	c.putIdle(cn)
+	return true
+}
+
 // CloseIdle closes the idle connections to a target, for example because another connection to it has failed.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
