Tell callers for how long a poison request is refused, and know it in all services of a rule

A refusal for ten seconds after two crashes told the caller, with 422 and no Retry-After, never to come back. It is a 503 with the time that is left now; 422, with Retry-After too, remains for refusals of over a minute. A rule that distributes its requests among several services gave one request several fingerprints, so that it could end targets in each of them. The virtual host takes the place of the service in the fingerprint of a request that matches a rule, which also keeps the requests of two virtual hosts apart.

--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -199,13 +200,18 @@
 func (s *streamBody) Close() error { return nil }
 
 // computeFingerprint returns a hash of the service, method, path, query and the part of the body that is in memory, which is the
-// whole body for a recorded command.
+// whole body for a recorded command. For a request that matches a rule, the virtual host stands for the service, because a rule may
+// distribute copies of one request among several services.
 func (rq *request) computeFingerprint() uint64 {
 	// The escaped path is the same at the host that relays a command and at the one that it is relayed to.
 	path := url.URL{Path: rq.path, RawPath: rq.rawPath}
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range [...]string{rq.name, rq.in.Method, path.EscapedPath(), rq.in.URL.RawQuery} {
+	service := rq.name
+	if rq.rule != nil {
+		service = strings.ToLower(hostOnly(rq.in.Host))
+	}
+	for _, part := range [...]string{service, rq.in.Method, path.EscapedPath(), rq.in.URL.RawQuery} {
 		d.WriteString(part)
 		d.Write(fingerprintSeparator)
 	}
--- a/pkg/entry/failure.go
+++ b/pkg/entry/failure.go
@@ -45,6 +45,9 @@
 	err           error
 }
 
+// maxQuarantine is the longest time for which the refusal of a poison request counts as temporary.
+const maxQuarantine = time.Minute
+
 // recordFailure adds a failure to the request's state and returns where the request may be tried next. A command that may have
 // run is not tried again.
 func (rq *request) recordFailure(f *failure) retryScope {
@@ -107,9 +110,11 @@
 	case peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, peerv1.RefusalReason_REFUSAL_REASON_UNKNOWN_SERVICE:
 		f.reason = reply.ReasonNoTarget
 	case peerv1.RefusalReason_REFUSAL_REASON_POISON:
-		// The request must not be sent to any other place either, and a later retry cannot succeed.
-		f.status, f.reason, f.retryScope = http.StatusUnprocessableEntity, reply.ReasonPoison, retryNone
-		f.retryAfter, f.notSent = 0, false
+		// The request must not be sent to any other place either.
+		f.reason, f.retryScope, f.notSent = reply.ReasonPoison, retryNone, false
+		if refused.RetryAfter > maxQuarantine {
+			f.status = http.StatusUnprocessableEntity
+		}
 	case peerv1.RefusalReason_REFUSAL_REASON_RETRY_BUDGET:
 		f.reason, f.retryScope = reply.ReasonRetryBudget, retryNone
 	}
