--- a/pkg/entry/dialect/dialect.go
+++ b/pkg/entry/dialect/dialect.go
@@ -3,7 +3,9 @@
 package dialect
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +46,21 @@
 	RetryAfter time.Duration
 	// SlowdownPercent is the target's current processing time as a percentage of its usual one; 0 if unknown.
 	SlowdownPercent int
+	// RateLimit is the number of requests per second that the target accepts from all hosts together; 0 if it states no limit.
+	RateLimit float64
+}
+
+// minRateLimit is the lowest rate limit. With none at all, no response would tell when the limit ends.
+const minRateLimit = 0.1
+
+// ParseRateLimit returns the rate limit that a header states in requests per second, at least minRateLimit, or 0 if the text is
+// not such a number.
+func ParseRateLimit(text string) float64 {
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0
+	}
+	return max(limit, minRateLimit)
 }
 
 // Dialect reads and writes request metadata in the headers of requests and responses.
--- a/pkg/entry/dialect/native.go
+++ b/pkg/entry/dialect/native.go
@@ -47,9 +47,12 @@
 	return strconv.FormatFloat(max(left, time.Millisecond).Seconds(), 'f', 3, 64)
 }
 
-// ReadResponse reads the request ID and whether the request did not run. The latter counts only with status 503.
+// ReadResponse reads the request ID, the target's rate limit and whether the request did not run. The latter counts only with
+// status 503.
 func (Native) ReadResponse(resp *http.Response) ResponseInfo {
-	report := ResponseInfo{ID: resp.Header.Get(reply.HeaderRequestID)}
+	report := ResponseInfo{
+		ID: resp.Header.Get(reply.HeaderRequestID), RateLimit: ParseRateLimit(resp.Header.Get(reply.HeaderRateLimit)),
+	}
 	f, ok := reply.FromResponse(resp)
 	if ok && f.Outcome == reply.NotRun && resp.StatusCode == http.StatusServiceUnavailable {
 		report.NotRun, report.RetryAfter = true, f.RetryAfter
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -124,6 +124,9 @@
 	if percent := ans.info.SlowdownPercent; percent > 0 {
 		line = line.Int("target_slowdown_percent", percent)
 	}
+	if limit := ans.info.RateLimit; limit > 0 {
+		line = line.Float64("target_limit", limit)
+	}
 	if cause != nil {
 		line.Str("cause", cause.Error()).Msg("broke off")
 		return
--- a/pkg/entry/reply/reply.go
+++ b/pkg/entry/reply/reply.go
@@ -20,6 +20,9 @@
 	HeaderTimeout = "Request-Timeout"
 	// HeaderRequestID identifies one attempt. A target may repeat it in its response; a host always does.
 	HeaderRequestID = "Rattanhitch-Request-Id"
+	// HeaderRateLimit is the number of requests per second that a target accepts from all hosts together, in its responses; fractions
+	// are allowed.
+	HeaderRateLimit = "Rattanhitch-Rate-Limit"
 	// HeaderKey is the idempotency key: it identifies a command when the caller sends it again.
 	HeaderKey = "Idempotency-Key"
 	// HeaderFirstSend is "true" if the caller has never sent the idempotency key before, not even by an automatic retry of its
