--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -24,6 +24,8 @@
 	// StraggleFactor multiplies service times for StraggleForMS milliseconds.
 	StraggleFactor float64 `json:"straggle_factor"`
 	StraggleForMS  int     `json:"straggle_for_ms"`
+	// RateLimit, if not 0, is the limit in requests per second that responses state. It is not enforced.
+	RateLimit float64 `json:"rate_limit"`
 	// LoadReport, if not nil, replaces the number of occupied slots in the load report.
 	LoadReport *int `json:"load_report"`
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -25,6 +25,7 @@
 
 	headerAttemptID      = "Rattanhitch-Request-Id"
 	headerOutcome        = "Rattanhitch-Outcome"
+	headerRateLimit      = "Rattanhitch-Rate-Limit"
 	headerIdempotencyKey = "Idempotency-Key"
 	outcomeNotRun        = "not-run"
 
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -62,6 +62,9 @@
 	h.Set(HeaderRequestID, id)
 	h.Set(headerAttemptID, attempt)
 	h.Set(HeaderTarget, t.opts.Name)
+	if faults.RateLimit > 0 {
+		h.Set(headerRateLimit, strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
+	}
 	h.Set("Content-Type", "text/plain")
 	if size <= 0 {
 		body := Body(id, 0)
