Keep the rate limit that a target states

Targets in need got several times the requests that they had asked for.

The host that gets a response reports the limit with the release of its permit; the dispatcher, which grants all permits for the target, keeps it with a token bucket (capacity: what 200 ms give, one token at least), and counts as many of the target's slots as can be occupied at that rate, so that regions are balanced by what their targets take. The first response without the header ends the limit. Hosts hand the limits that they know to a new dispatcher, whose buckets start empty. A limit of 0 counts as one request in 10 s: without any request no response would tell when it ends. The bucket of cold targets is the same type now.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -52,6 +52,8 @@
 	bytes         uint64
 	// info holds the metadata of the target's response header.
 	info dialect.ResponseInfo
+	// responded is set once the target's response header has been read.
+	responded bool
 	// acceptsConnections reports whether the target of the permit accepts a new connection.
 	acceptsConnections func() bool
 	// targetEnded is set if the connection was lost and the target accepts no other one.
@@ -127,7 +129,7 @@
 	a.targetEnded = lost && !a.acceptsConnections()
 	a.grant.Release(permit.Observation{
 		Outcome: outcome, FirstByte: a.firstByte, Total: total, Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
-		TargetAlive: lost && !a.targetEnded,
+		TargetAlive: lost && !a.targetEnded, RateLimit: a.info.RateLimit, RateLimitKnown: a.responded && !a.info.InstanceGone,
 	})
 }
 
@@ -249,7 +251,7 @@
 // matchesAttempt stores the metadata of a target's response in a.info and reports whether the response belongs to the attempt.
 // A response without a request ID is taken as a match, because targets need not repeat the ID.
 func (h *Handler) matchesAttempt(a *attempt, resp *http.Response) bool {
-	a.info = h.opts.Dialect.ReadResponse(resp)
+	a.info, a.responded = h.opts.Dialect.ReadResponse(resp), true
 	return a.info.ID == "" || a.info.ID == a.targetRequestID
 }
 
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -197,6 +197,7 @@
 
 // release ends this host's use of a permit and returns it to the dispatcher.
 func (m *Manager) release(state *clientState, req Request, h *heldPermit, obs Observation) {
+	state.recordRateLimit(h.target, obs)
 	m.sendRelease(req, h, state.removeHeld(h), obs)
 }
 
@@ -219,13 +220,17 @@
 }
 
 func releaseRequest(service string, r *release) *peerv1.ReleaseRequest {
-	return &peerv1.ReleaseRequest{
+	msg := &peerv1.ReleaseRequest{
 		PermitId: r.key.id, Dispatcher: r.key.dispatcher.proto(), Service: service, Target: r.target, Class: r.class,
 		Outcome: r.observation.Outcome, FirstByteUs: uint64(r.observation.FirstByte.Microseconds()),
 		TotalUs: uint64(r.observation.Total.Microseconds()), AnswerBytes: r.observation.Bytes,
 		Fingerprint: r.fingerprint, Route: r.route, SlowdownPercent: uint32(max(0, r.observation.SlowdownPercent)),
 		TargetAlive: r.observation.TargetAlive,
 	}
+	if r.observation.RateLimitKnown {
+		msg.RateLimit = &r.observation.RateLimit
+	}
+	return msg
 }
 
 // releaseWithRetry sends a release until a dispatcher accepts it or the permit expires, and at least once. If the dispatcher is
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -28,6 +28,8 @@
 	// newestSeen is the newest dispatcher known to this host.
 	newestSeen dispatcherID
 	held       map[permitKey]*heldPermit
+	// rateLimits holds the rate limits that targets stated to this host, by target.
+	rateLimits map[string]rateReport
 }
 
 // heldPermit is a permit that this host holds.
@@ -46,7 +48,7 @@
 	defer m.mu.Unlock()
 	s := m.clientStates[service]
 	if s == nil {
-		s = &clientState{held: map[permitKey]*heldPermit{}}
+		s = &clientState{held: map[permitKey]*heldPermit{}, rateLimits: map[string]rateReport{}}
 		m.clientStates[service] = s
 	}
 	return s
--- a/pkg/permit/cold.go
+++ b/pkg/permit/cold.go
@@ -15,13 +15,13 @@
 // applyConfig applies the configuration of a target. c is the same object while the configuration of the target is unchanged, so
 // that the cold period starts only once.
 func (t *target) applyConfig(c *configv1.Target, coldPerSecond float64, now time.Time) {
-	t.coldRate = coldPerSecond
 	if t.config == c {
+		t.cold.rate = coldPerSecond
 		return
 	}
 	if previous := t.config; previous.GetStartedUnixMs() != c.GetStartedUnixMs() {
 		// The target was restarted: the estimates for the previous process do not apply.
-		t.recentObjects, t.speed = nil, speed{}
+		t.recentObjects, t.speed, t.rateLimit = nil, speed{}, rateBucket{}
 		t.health.down = false
 	}
 	t.config = c
@@ -29,26 +29,14 @@
 	t.coldUntil = time.Time{}
 	if cold := time.Duration(c.GetColdMs()) * time.Millisecond; cold > 0 {
 		t.coldUntil = now.Add(cold)
-		t.coldTokens, t.coldRefilledAt = 0, now
 	}
+	t.cold = rateBucket{rate: coldPerSecond, burst: coldBurst, refilledAt: now}
 }
 
-// allowsColdRequest refills the token bucket of a cold target and reports whether the target may get a request. A target that is
-// not cold always may.
+// allowsColdRequest reports whether the target may get a request as far as its cold caches are concerned. A target that is not cold
+// always may.
 func (t *target) allowsColdRequest(now time.Time) bool {
-	if t.coldRate <= 0 || !now.Before(t.coldUntil) {
-		return true
-	}
-	t.coldTokens = min(coldBurst, t.coldTokens+t.coldRate*now.Sub(t.coldRefilledAt).Seconds())
-	t.coldRefilledAt = now
-	return t.coldTokens >= 1
-}
-
-// takeColdToken takes a token for a request to a cold target.
-func (t *target) takeColdToken(now time.Time) {
-	if t.coldRate > 0 && now.Before(t.coldUntil) {
-		t.coldTokens--
-	}
+	return !now.Before(t.coldUntil) || t.cold.allows(now)
 }
 
 // rendezvousWeight returns the rendezvous hash weight of the target for an object; the highest weight is preferred.
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
@@ -230,6 +231,11 @@
 	d.updateGauges(now)
 }
 
+// anyWaiting reports whether any request waits for a slot.
+func (d *dispatcher) anyWaiting() bool {
+	return len(d.objectiveWaiters) > 0 || slices.ContainsFunc(d.queues[:], func(q queue) bool { return q.len() > 0 })
+}
+
 // nextWake returns the latest time at which processDue must run again.
 func (d *dispatcher) nextWake(now time.Time) time.Time {
 	wake := now.Add(maxSleep)
@@ -243,6 +249,9 @@
 			}
 		}
 	}
+	if at := d.slots.nextToken(now); !at.IsZero() && at.Before(wake) && d.anyWaiting() {
+		wake = at
+	}
 	for i := range d.queues {
 		if d.queues[i].len() == 0 {
 			continue
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -40,7 +40,7 @@
 	restrictions := d.trialOf(w, now)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) ||
-			d.avoids(t, w, now) || !restrictions.allows(t) || !t.allowsColdRequest(now) {
+			d.avoids(t, w, now) || !restrictions.allows(t) || !t.allowsRate(now) {
 			continue
 		}
 		if t.health.quarantined || t.health.down {
@@ -71,7 +71,7 @@
 		t.recentObjects = t.recentObjects.touch(w.req.ObjectHash)
 	}
 	p.slowdown = t.speed.reported(now)
-	t.takeColdToken(now)
+	t.takeRateToken(now)
 	if d.canProbe(t, w, now) {
 		p.probe, t.health.probing = true, true
 	}
--- a/pkg/permit/handlers.go
+++ b/pkg/permit/handlers.go
@@ -93,6 +93,7 @@
 			Bytes:     msg.GetAnswerBytes(),
 
 			SlowdownPercent: int(msg.GetSlowdownPercent()), TargetAlive: msg.GetTargetAlive(),
+			RateLimit: msg.GetRateLimit(), RateLimitKnown: msg.RateLimit != nil,
 		},
 	}
 }
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -96,7 +96,8 @@
 // and the time until completion. best is nil if no target qualifies.
 func (d *dispatcher) earliestCompletion(w *waiter, now time.Time) (best *target, wait, total time.Duration) {
 	for _, t := range d.slots.order {
-		if t.closed || t.health.down || t.health.quarantined || slices.Contains(w.req.ExcludeTargets, t.name) {
+		if t.closed || t.health.down || t.health.quarantined || slices.Contains(w.req.ExcludeTargets, t.name) ||
+			!t.rateLimit.allows(now) {
 			continue
 		}
 		untilFree, known := t.untilFree(now)
@@ -235,7 +236,7 @@
 	restrictions := d.trialOf(w, now)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) || d.avoids(t, w, now) ||
-			!restrictions.allows(t) || !t.allowsColdRequest(now) {
+			!restrictions.allows(t) || !t.allowsRate(now) {
 			continue
 		}
 		if t.health.quarantined || t.health.down {
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -128,6 +128,7 @@
 		d.adoptPermit(r.from, h, now)
 	}
 	d.manager.poison.Merge(r.resp.GetSuspects())
+	d.adoptRateLimits(r.resp.GetLimits(), now)
 	d.activateIfRecovered()
 }
 
@@ -275,7 +276,7 @@
 		return &peerv1.RecoverResponse{Newer: s.fence.proto()}
 	}
 	s.fence = by
-	resp := &peerv1.RecoverResponse{Suspects: m.poison.Records()}
+	resp := &peerv1.RecoverResponse{Suspects: m.poison.Records(), Limits: s.encodeRateLimits(now)}
 	for _, h := range s.inUse(now) {
 		resp.Held = append(resp.Held, &peerv1.HeldPermit{
 			Id: h.key.id, Dispatcher: h.key.dispatcher.proto(), Target: h.target, Class: h.class,
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -81,6 +81,7 @@
 		return
 	}
 	d.observe(p, r, now)
+	d.observeRateLimit(p, r.observation, now)
 }
 
 // observe updates the statistics of the target, the route and the service from a released permit. A permit whose request was not
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -35,12 +35,14 @@
 	lastAnswer time.Time
 	// awaitingWaiters counts the waiting requests whose awaitedTarget is this target.
 	awaitingWaiters int
-	// coldUntil is when the target stops being cold (still filling its caches). Until then a token bucket limits it to
-	// coldRate requests per second; coldTokens was last refilled at coldRefilledAt.
-	coldUntil      time.Time
-	coldRate       float64
-	coldTokens     float64
-	coldRefilledAt time.Time
+	// coldUntil is when the target stops being cold (still filling its caches). Until then cold limits its requests.
+	coldUntil time.Time
+	cold      rateBucket
+	// rateLimit keeps the limit that the target stated last, at rateReportedAt. rateLimitSlots is the number of slots that can be
+	// occupied at that rate.
+	rateLimit      rateBucket
+	rateReportedAt time.Time
+	rateLimitSlots int
 }
 
 // freeSlots returns the number of free slots; 0 while the target is closed.
@@ -48,7 +50,7 @@
 	if t.closed {
 		return 0
 	}
-	return max(0, t.slots-t.used)
+	return max(0, t.usableSlots()-t.used)
 }
 
 // freeSlotsFor returns the number of free slots that a request class may occupy.
@@ -246,7 +248,7 @@
 	for _, t := range s.order {
 		if !t.closed && !t.health.down {
 			free += t.freeSlots()
-			total += t.slots
+			total += t.usableSlots()
 		}
 	}
 	return free, total
@@ -263,7 +265,7 @@
 		if class == classLong {
 			usable += t.longSlots
 		} else {
-			usable += t.slots - t.usedLong
+			usable += max(0, t.usableSlots()-t.usedLong)
 		}
 	}
 	return free, usable
