Follow a platform that is restored from a copy

New on the users' pages: the store may come back from a copy some seconds old; versions go back and are given out again, a read from one that it does not have gets 410, and the header Store-Era rises. What the operator and the targets wrote is written again.

Before (by reading): versions decide which row is newer, so every row written after a restore was ignored until its version passed the lost ones; a position from before could skip changes without a 410; a full read took back what was not written again yet: an evacuation, or the state of a target that drains.

--- a/pkg/store/platform.go
+++ b/pkg/store/platform.go
@@ -27,7 +27,7 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version grows with each write of the row; 0 means that the row does not exist.
+	// Version grows with each write of the row, also after the platform was restored from a copy; 0 means that the row does not exist.
 	Version uint64
 }
 
@@ -90,6 +90,10 @@
 // ErrHistoryLost means that the platform no longer has the changes after the given version. The caller must call Feed.List.
 var ErrHistoryLost = errors.New("history lost")
 
+// ErrRestored means that the platform came back from a copy that lacks its latest changes, and that the given version is from before
+// that. The caller must call Feed.List.
+var ErrRestored = errors.New("platform restored from a copy")
+
 // WatchedRow is a row, or the tombstone of a deleted row, of a table that other programs write.
 type WatchedRow struct {
 	Key     string
@@ -104,7 +108,7 @@
 	// List returns all rows of a table and the version to pass to Changes for what changed since. Errors: ErrUnavailable.
 	List(ctx context.Context, table string) (rows []WatchedRow, version uint64, err error)
 	// Changes returns the rows that changed after the given version, and the version up to which they are complete. It is a
-	// long poll: without a change it returns after wait. Errors: ErrUnavailable, ErrHistoryLost.
+	// long poll: without a change it returns after wait. Errors: ErrUnavailable, ErrHistoryLost, ErrRestored.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rows []WatchedRow, version uint64, err error)
 }
 
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -18,6 +18,8 @@
 	name string
 	// equivalent reports whether two values of a row make no difference to this program.
 	equivalent func(a, b []byte) bool
+	// supersedes reports whether the content of a value shows that it was written after another one.
+	supersedes func(next, current []byte) bool
 
 	mu sync.Mutex
 	// rows includes tombstones.
@@ -47,7 +49,8 @@
 }
 
 func newTable(name string, equivalent func(a, b []byte) bool) *Table {
-	return &Table{name: name, equivalent: equivalent, rows: map[string]*row{}, changed: make(chan struct{})}
+	never := func(_, _ []byte) bool { return false }
+	return &Table{name: name, equivalent: equivalent, supersedes: never, rows: map[string]*row{}, changed: make(chan struct{})}
 }
 
 // Row is a row that is present or in its grace period after a deletion.
@@ -106,6 +109,9 @@
 	version uint64
 	// full is set if rows contains all rows of the table, so that missing ones are deleted.
 	full bool
+	// restored is set if the platform was restored from a copy, so that rows may be older than the local ones in spite of their
+	// versions. Their writers write them again.
+	restored bool
 	// age is the time since the rows were read from the platform.
 	age time.Duration
 	// sinceRecovery is the time since the end of the last outage; 0 if it is longer ago than expiryGrace.
@@ -128,6 +134,9 @@
 	listed := map[string]bool{}
 	for _, r := range u.rows {
 		listed[r.Key] = true
+		if u.restored && t.isOutdated(r) {
+			continue
+		}
 		if t.mergeRow(r, u.from, now) {
 			changed = append(changed, r)
 		}
@@ -174,6 +183,16 @@
 	return true
 }
 
+// isOutdated reports whether a row of a restored copy must not replace the local one, which may be newer: it differs, and its content
+// does not show that it was written later. t.mu must be held.
+func (t *Table) isOutdated(r store.WatchedRow) bool {
+	current := t.rows[r.Key]
+	if current == nil || !current.deleted && bytes.Equal(current.value, r.Value) {
+		return false
+	}
+	return !t.supersedes(r.Value, current.value)
+}
+
 // deleteMissing deletes the rows up to a version that a full list lacks, and returns them. t.mu must be held.
 func (t *Table) deleteMissing(listed map[string]bool, version uint64, now time.Time) []store.WatchedRow {
 	var changed []store.WatchedRow
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -196,3 +196,33 @@
 	default:
 	}
 }
+
+// Guards against state that goes back when the platform is restored from a copy some seconds old: rows that are missing in it, older in
+// it or deleted since. Their writers write them again; what they have not written again after the grace period is as the copy says.
+func TestRestoredCopyDoesNotTakeStateBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := newTable("t", equal)
+	table.supersedes = func(next, current []byte) bool { return string(next) > string(current) }
+	table.merge(update{full: true, version: 3, rows: []store.WatchedRow{
+		put("added", "1", 2), put("changed", "2", 3), put("deleted", "1", 1), put("kept", "1", 1),
+	}}, now)
+	table.merge(update{version: 4, rows: []store.WatchedRow{{Key: "deleted", Version: 4, Deleted: true}}}, now)
+	want := map[string]string{"added": "1", "changed": "2", "kept": "1"}
+
+	const era = 1 << 40
+	restored := update{full: true, restored: true, version: era + 2, sinceRecovery: time.Millisecond, rows: []store.WatchedRow{
+		put("changed", "1", era+1), put("deleted", "1", era+1), put("kept", "1", era+1),
+	}}
+	is.Equal(len(table.merge(restored, now)), 1) // the row that is missing, in its grace period
+	is.Equal(values(table, now), want)
+	is.Equal(table.position(), uint64(era+2))
+
+	table.merge(update{version: era + 3, rows: []store.WatchedRow{put("added", "1", era+3)}}, now) // written again
+	later := now.Add(expiryGrace)
+	is.Equal(values(table, later), want)
+	restored.restored, restored.version, restored.sinceRecovery = false, era+3, 0
+	restored.rows = append(restored.rows, put("added", "1", era+3))
+	table.merge(restored, later)
+	is.Equal(values(table, later), map[string]string{"added": "1", "changed": "1", "deleted": "1", "kept": "1"})
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -54,6 +54,8 @@
 	Interval time.Duration
 	// Equivalent reports whether a change of a row from one value to the other can be ignored.
 	Equivalent func(a, b []byte) bool
+	// Supersedes reports whether the content of a value shows that it was written after another one. Nil means that no content does.
+	Supersedes func(next, current []byte) bool
 }
 
 // Options are the dependencies of a Follower.
@@ -78,6 +80,8 @@
 	// failingSince is when reads of the platform began to fail, or zero. Only readLoop uses it.
 	failingSince time.Time
 	retryDelay   time.Duration
+	// listAgainAt is when the table must be listed again after the platform was restored from a copy, or zero. Only readLoop uses it.
+	listAgainAt time.Time
 	// age is the age of the copy in seconds.
 	age tally.Gauge
 }
@@ -97,6 +101,9 @@
 // Add registers a table and returns its copy, which is empty until Run has read it.
 func (f *Follower) Add(o TableOptions) *Table {
 	t := newTable(o.Name, o.Equivalent)
+	if o.Supersedes != nil {
+		t.supersedes = o.Supersedes
+	}
 	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
 	f.tables = append(f.tables, &followedTable{TableOptions: o, Table: t, age: age})
 	return t
@@ -164,28 +171,44 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(readTimeout, wait+waitMargin))
 	defer cancel()
-	u := update{}
-	var err error
-	if after > 0 {
-		u.rows, u.version, err = f.opts.Feed.Changes(ctx, t.name, after, wait)
-	}
-	if after == 0 || errors.Is(err, store.ErrHistoryLost) {
-		u.full = true
-		u.rows, u.version, err = f.opts.Feed.List(ctx, t.name)
-	}
+	u, err := f.fetchUpdate(ctx, t, after, wait)
 	if err != nil {
 		return steperr.Wrap(err, "read table "+t.name, "")
 	}
 	now := time.Now()
-	if !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
+	if u.restored || !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
 		u.sinceRecovery = time.Millisecond
 	}
+	switch {
+	case u.restored:
+		log.Warn().Str("step", "watch").Str("table", t.name).Uint64("version", u.version).Uint64("previous", after).
+			Msg("the platform was restored from a copy")
+		t.listAgainAt = now.Add(expiryGrace)
+	case u.full:
+		t.listAgainAt = time.Time{}
+	}
 	if changed := t.merge(u, now); len(changed) > 0 {
 		f.push(ctx, t, changed)
 	}
 	return nil
 }
 
+// fetchUpdate reads the changes of a table after a version, or all of it if there is no copy, the history was lost, the platform was
+// restored from a copy, or that was expiryGrace ago.
+func (f *Follower) fetchUpdate(ctx context.Context, t *followedTable, after uint64, wait time.Duration) (u update, err error) {
+	listAgain := !t.listAgainAt.IsZero() && !time.Now().Before(t.listAgainAt)
+	if after > 0 && !listAgain {
+		u.rows, u.version, err = f.opts.Feed.Changes(ctx, t.name, after, wait)
+		u.restored = errors.Is(err, store.ErrRestored)
+		if !u.restored && !errors.Is(err, store.ErrHistoryLost) {
+			return u, err
+		}
+	}
+	u.full = true
+	u.rows, u.version, err = f.opts.Feed.List(ctx, t.name)
+	return u, err
+}
+
 // handleReadError records the start of an outage, fetches the tables from a random peer, and waits with exponential backoff.
 func (f *Follower) handleReadError(ctx context.Context, t *followedTable, err error) {
 	f.opts.Scope.Counter("read_failures").Inc(1)
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -22,6 +22,23 @@
 	rows    []store.WatchedRow
 	version uint64
 	reads   int
+	// restoredAt is the version from which versions are counted since the feed was restored from a copy.
+	restoredAt uint64
+}
+
+// restore makes the feed go back to its rows up to a version, under higher versions.
+func (f *feed) restore(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	const era = 1 << 40
+	var kept []store.WatchedRow
+	for _, row := range f.rows {
+		if row.Version <= version {
+			row.Version += era
+			kept = append(kept, row)
+		}
+	}
+	f.rows, f.version, f.restoredAt = kept, version+era, era
 }
 
 func (f *feed) put(key, value string) {
@@ -44,6 +61,9 @@
 	if r.refuse {
 		return nil, 0, errors.Mark(errors.New("refused"), store.ErrUnavailable)
 	}
+	if after > 0 && after < r.restoredAt {
+		return nil, 0, store.ErrRestored
+	}
 	var list []store.WatchedRow
 	for _, row := range r.rows {
 		if row.Version > after {
@@ -186,3 +206,35 @@
 		})
 	}
 }
+
+// Guards against hosts that keep old rows for good, or take state back for a moment, after the platform was restored from a copy some
+// seconds old.
+func TestHostsFollowARestoredPlatform(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{}
+		f.put("a", "1")
+		f.put("b", "1")
+		tables, _ := startFollowers(t, f, "h1", "h2", "h3")
+		time.Sleep(3 * time.Second)
+		f.put("a", "2")
+		f.put("c", "1")
+		time.Sleep(time.Second)
+		f.restore(2)
+		for range 10 { // nothing is written again for a second
+			time.Sleep(100 * time.Millisecond)
+			for _, table := range tables {
+				is.Equal(values(table, time.Now()), map[string]string{"a": "2", "b": "1", "c": "1"})
+			}
+		}
+		f.put("a", "2")
+		f.put("b", "3")
+		f.put("c", "1")
+		time.Sleep(3 * time.Second)
+		f.put("a", "4")
+		time.Sleep(time.Second)
+		for _, table := range tables {
+			is.Equal(values(table, time.Now()), map[string]string{"a": "4", "b": "3", "c": "1"})
+		}
+	})
+}
