Tell the host that a request is forwarded to how often it was sent to targets

A request whose dispatcher is lost between two attempts is forwarded to another failure domain; the host there counted from zero, so that the request ran at three targets with two attempts allowed, and its retries there took no retry budget. The forwarding host now sends the number. TestForwardedRequestKeepsItsAttempts failed before (2 runs at the second host instead of 1) and passes.

--- a/pkg/entry/forwarded_rule_test.go
+++ b/pkg/entry/forwarded_rule_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -13,7 +14,9 @@
 	"github.com/rattanhitch/rattanhitch/pkg/command"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // addRules returns a store whose configuration is that of ruleStore with more rules and a service "fresh".
@@ -170,3 +173,36 @@
 	}))
 	return store
 }
+
+// failingOverAcquirer grants one permit and refuses all others, as after the loss of the dispatcher.
+type failingOverAcquirer struct {
+	permit.Acquirer
+	granted *atomic.Bool
+}
+
+func (a failingOverAcquirer) Acquire(ctx context.Context, req permit.Request) (*permit.Grant, error) {
+	if a.granted.Swap(true) {
+		return nil, &permit.RefusedError{Reason: peerv1.RefusalReason_REFUSAL_REASON_NOT_DISPATCHER}
+	}
+	return a.Acquirer.Acquire(ctx, req)
+}
+
+// Guards against a request that runs at more targets than the attempts of its rule, and whose retries take no retry budget, because the
+// host that it is forwarded to does not know of its earlier attempts.
+func TestForwardedRequestKeepsItsAttempts(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		first, second := redirectToSecond(t, ruleStore(), ruleStore())
+		first.handler.opts.Permits = failingOverAcquirer{first.permits, &atomic.Bool{}}
+		for _, t := range []*target.Target{first.targets[0], second.targets[0], second.targets[1]} {
+			t.SetFaults(target.Faults{LoseAnswer: true})
+		}
+		got := first.do("GET", "/r/a", "") // two attempts
+		is.NoErr(got.err)
+		is.Equal(got.status, 502)
+		synctest.Wait()
+		is.Equal(first.targets[0].Report().Total, 1)
+		is.Equal(second.targets[0].Report().Total+second.targets[1].Report().Total, 1)
+		is.Equal(second.permits.requests[0].Attempt, 1)
+	})
+}
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -31,8 +31,10 @@
 	headerObjective = "Rattanhitch-Objective"
 	// headerRule and headerRoute are the rule and the route that the first host applies to the request, as protobuf messages in
 	// base64. An empty route means that the request matches none.
-	headerRule      = "Rattanhitch-Rule"
-	headerRoute     = "Rattanhitch-Route"
+	headerRule  = "Rattanhitch-Rule"
+	headerRoute = "Rattanhitch-Route"
+	// headerAttempts is the number of targets to which the forwarding host has sent the request.
+	headerAttempts  = "Rattanhitch-Attempts"
 	headerForwarded = "X-Forwarded-For"
 )
 
@@ -110,6 +112,8 @@
 	mode        mode
 	// objective is the time after which the response counts as late; zero without an objective.
 	objective time.Time
+	// attempts is the number of targets to which the forwarding host has sent the request.
+	attempts int
 	// rule and route are those that the forwarding host applies; nil if it applies none, or is too old to send them.
 	rule  *configv1.Rule
 	route *configv1.Route
@@ -129,6 +133,13 @@
 		}
 		o.objective = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
+	if text := r.Header.Get(headerAttempts); text != "" {
+		attempts, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return nil, errors.Newf("forwarded request after %q attempts", text)
+		}
+		o.attempts = int(attempts)
+	}
 	if err := o.readRouting(r.Header); err != nil {
 		return nil, err
 	}
@@ -199,6 +210,7 @@
 	header.Set(headerIncarnation, strconv.FormatUint(h.opts.Self.Incarnation, 10))
 	header.Set(headerService, rq.name)
 	header.Set(headerMode, string(m))
+	header.Set(headerAttempts, strconv.Itoa(rq.targetAttempts))
 	return rq.setRouting(header)
 }
 
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -15,6 +15,7 @@
 	rq.initHeader()
 	a := h.newAttempt(rq, rq.attemptID(), grant)
 	rq.attempts++
+	rq.targetAttempts++
 	if rq.command || !rq.body.empty() || grant.HedgeAfter <= 0 {
 		return h.send(rq, a)
 	}
@@ -116,6 +117,7 @@
 	}
 	<-r.secondDone
 	r.rq.attempts++
+	r.rq.targetAttempts++
 	if r.secondTarget != "" {
 		r.rq.excludedTargets = append(r.rq.excludedTargets, r.secondTarget)
 	}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -61,7 +61,10 @@
 	history       routingHistory
 	mode          mode
 
+	// attempts is the number of sends to targets and hosts, targetAttempts the number of those to targets. Both include what the
+	// forwarding host has sent to targets.
 	attempts        int
+	targetAttempts  int
 	excludedTargets []string
 	// mayHaveRun is set once a target may have executed an attempt.
 	mayHaveRun bool
@@ -77,6 +80,7 @@
 	if from != nil {
 		rq.id, rq.fromHost, rq.mode = from.requestID, from.host, from.mode
 		rq.forwarded, rq.shifted, rq.forwardedObjective = true, from.shifted, from.objective
+		rq.attempts, rq.targetAttempts = from.attempts, from.attempts
 	} else {
 		rq.id = h.nextID()
 	}
