Keep the records of refused poison requests in the platform's table

The host that sees a crash which refuses a request writes its record to the table; a failed write is repeated. A relay reads the rows a second after its start, passes them to its failure domain, and deletes expired ones. Times are relative to the time of writing, so that clocks that differ by seconds shift a refusal by as much. Price: one write for each refusal, one read for each relay's start.

TestStrikesSurviveTheLossOfAllHosts, also with an outage of the platform during the writes, fails without the read.

--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -18,6 +18,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/poison"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // Options holds the dependencies and parameters of a Manager.
@@ -26,6 +27,8 @@
 	View      membership.View
 	Caller    peer.Caller
 	Registrar peer.Registrar
+	// Table keeps the records of poison requests; it may be nil.
+	Table store.Table
 	// FailureDomain is the failure domain of this host.
 	FailureDomain string
 	// LastReportedPermits returns the permits in a host's last heartbeat, for which slots are reserved if the host does not
@@ -121,8 +124,10 @@
 		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll, scope: scope, acquired: newAcquireMetrics(scope),
 		dispatchers: map[string]*dispatcher{}, clientStates: map[string]*clientState{},
 		knownHosts: map[string]bool{o.View.Self().Host: true}, backoffs: map[string]restartBackoff{},
-		wake:   make(chan struct{}, 1),
-		poison: poison.New(poison.Options{View: o.View, Caller: o.Caller, Registrar: o.Registrar, Scope: o.Scope}),
+		wake: make(chan struct{}, 1),
+		poison: poison.New(poison.Options{
+			View: o.View, Caller: o.Caller, Registrar: o.Registrar, Table: o.Table, Scope: o.Scope,
+		}),
 	}
 	o.Registrar.Handle(methodAcquire, m.handleAcquire)
 	o.Registrar.Handle(methodRelease, m.handleRelease)
--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -9,6 +9,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
@@ -17,7 +18,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID},
+		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, store.ModuleID},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -36,20 +37,22 @@
 		members *membership.Module
 		conf    *config.Module
 		scope   *telemetry.Module
+		p       *store.Module
 	)
 	err := kernel.Bind(app,
 		kernel.To(&node, peer.ModuleID),
 		kernel.To(&members, membership.ModuleID),
 		kernel.To(&conf, config.ModuleID),
 		kernel.To(&scope, telemetry.ModuleID),
+		kernel.To(&p, store.ModuleID),
 	)
 	if err != nil {
 		return err
 	}
 	m.Manager = NewManager(Options{
 		Store: conf.Store, View: members.Tracker, Caller: node.Node, Registrar: node.Node,
-		FailureDomain: app.Settings.EffectiveDispatchDomain(),
-		ShiftShare:    app.Settings.ShiftPercent / 100, ShiftWindow: app.Settings.ShiftWindow,
+		Table: p.Platform, FailureDomain: app.Settings.EffectiveDispatchDomain(),
+		ShiftShare: app.Settings.ShiftPercent / 100, ShiftWindow: app.Settings.ShiftWindow,
 		RetryRatio: app.Settings.RetryPercent / 100, RetryBurst: float64(app.Settings.RetryBurst),
 		Scope:               scope.Scope,
 		DomainLoads:         func(service string) []DomainLoad { return domainLoads(members.Tracker, service) },
--- a/pkg/permit/poison_test.go
+++ b/pkg/permit/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/permittest"
+	"github.com/rattanhitch/rattanhitch/pkg/store/memory"
 )
 
 // loseConnection sends a request whose connection is lost, and returns the target that it was sent to.
@@ -233,6 +235,38 @@
 	}
 }
 
+// Guards against a poison request that ends targets again after all hosts were lost at once, and against records that are lost because the
+// platform was not there when they were to be written.
+func TestStrikesSurviveTheLossOfAllHosts(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		table := memory.New()
+		run(t, 1, 4, permittest.Objects(lookup), func(d *domain, is *is.I) {
+			d.Configure = func(o *permit.Options) { o.Table = table }
+			restart := func() {
+				for _, h := range d.Hosts() {
+					d.Kill(h)
+				}
+				for i := range 4 {
+					d.Add(fmt.Sprintf("h%d", i))
+				}
+				d.StartAll()
+				time.Sleep(3 * time.Second)
+			}
+			restart() // with the table
+			table.SetFaults(memory.Faults{Outage: outage})
+			first, err := d.loseConnection(d.Hosts()[0], 7)
+			is.NoErr(err)
+			_, err = d.loseConnection(d.Hosts()[1], 7, first)
+			is.NoErr(err)
+			table.SetFaults(memory.Faults{})
+			time.Sleep(4 * time.Second)
+			restart()
+			_, err = d.loseConnection(d.Hosts()[2], 7)
+			is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
+		})
+	}
+}
+
 // Guards against retries that multiply the load: they are limited to a tenth of the first attempts once the saved tokens are
 // spent.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- /dev/null
+++ b/pkg/poison/persist.go
@@ -0,0 +1,159 @@
+package poison
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanhitch/rattanhitch/internal/sleep"
+	"github.com/rattanhitch/rattanhitch/internal/steperr"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
+)
+
+// Records in the platform's table.
+//
+// All hosts may be lost at once, and their records with them. The records of requests that are refused are therefore written to the
+// platform's table, which is rare. A relay reads them some time after its start and sends them to the hosts of its failure domain.
+
+const (
+	rowPrefix = "poison/"
+	// maxRows limits the rows that are read. One page of the users' platform has 500.
+	maxRows = 500
+	// loadDelay is the time from the start of a host until its view shows whether it is a relay.
+	loadDelay = time.Second
+	// storeTimeout limits a call of the platform. A failed one is repeated after storeRetryInterval.
+	storeTimeout       = 3 * time.Second
+	storeRetryInterval = 2 * time.Second
+)
+
+// persist adds a record to those to be written. r.mu must be held.
+func (r *Registry) persist(fingerprint uint64) {
+	if r.opts.Table == nil {
+		return
+	}
+	r.unwritten[fingerprint] = true
+	select {
+	case r.wakeWriter <- struct{}{}:
+	default:
+	}
+}
+
+// writeLoop writes records to the platform's table, one at a time.
+func (r *Registry) writeLoop(ctx context.Context) {
+	for {
+		fingerprint, found := r.takeUnwritten()
+		if !found {
+			select {
+			case <-r.wakeWriter:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err := r.write(ctx, fingerprint); err != nil {
+			log.Warn().Str("step", "poison").Err(err).Msg("record of a poison request was not written")
+			r.mu.Lock()
+			r.unwritten[fingerprint] = true
+			r.mu.Unlock()
+			if !sleep.For(ctx, storeRetryInterval) {
+				return
+			}
+		}
+	}
+}
+
+func (r *Registry) takeUnwritten() (fingerprint uint64, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for fingerprint := range r.unwritten {
+		delete(r.unwritten, fingerprint)
+		return fingerprint, true
+	}
+	return 0, false
+}
+
+// write writes a record, unless the request is no longer refused. An unknown outcome is an error: writing it again does no harm.
+func (r *Registry) write(ctx context.Context, fingerprint uint64) error {
+	now := time.Now()
+	r.mu.Lock()
+	known := r.records[fingerprint]
+	if known == nil || !known.refusedUntil(0).After(now) {
+		r.mu.Unlock()
+		return nil
+	}
+	row := &peerv1.PoisonRow{Record: known.encode(fingerprint, now), WrittenUnixMs: now.UnixMilli()}
+	r.mu.Unlock()
+	value, err := proto.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode record of a poison request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := rowPrefix + strconv.FormatUint(fingerprint, 36)
+	err = r.opts.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
+	return steperr.Wrap(err, "write record of a poison request", "platform")
+}
+
+// loadOnce reads the records in the platform's table if this host is a relay, and deletes those that have expired.
+func (r *Registry) loadOnce(ctx context.Context) {
+	for sleep.For(ctx, loadDelay) && r.isRelay() {
+		err := r.load(ctx)
+		if err == nil {
+			return
+		}
+		log.Warn().Str("step", "poison").Err(err).Msg("records of poison requests were not read")
+		if !sleep.For(ctx, storeRetryInterval) {
+			return
+		}
+	}
+}
+
+func (r *Registry) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := r.opts.Table.Scan(ctx, rowPrefix, "", maxRows)
+	if err != nil {
+		return steperr.Wrap(err, "read records of poison requests", "platform")
+	}
+	now := time.Now()
+	var records []*peerv1.PoisonRecord
+	var expired store.Txn
+	for _, row := range rows {
+		m := &peerv1.PoisonRow{}
+		// The clocks of hosts differ by seconds, so a record may seem to be from the future.
+		err := proto.Unmarshal(row.Value, m)
+		age := max(0, now.Sub(time.UnixMilli(m.GetWrittenUnixMs())))
+		if err != nil || age > poisonTTL {
+			expired.Conditions = append(expired.Conditions, store.Condition{Key: row.Key, Version: row.Version})
+			expired.Writes = append(expired.Writes, store.Write{Key: row.Key, Delete: true})
+			continue
+		}
+		addAge(m.GetRecord(), age)
+		records = append(records, m.GetRecord())
+	}
+	r.receive(records, toDomain)
+	if len(expired.Writes) == 0 {
+		return nil
+	}
+	err = r.opts.Table.Commit(ctx, expired)
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknownOutcome) {
+		return nil // the relay of another failure domain deletes them too
+	}
+	return steperr.Wrap(err, "delete expired records of poison requests", "platform")
+}
+
+// addAge adds the time since a record was written to the times in it.
+func addAge(m *peerv1.PoisonRecord, age time.Duration) {
+	if m.GetAnsweredAgoMs() >= 0 {
+		m.AnsweredAgoMs += age.Milliseconds()
+	}
+	for _, c := range m.GetCrashes() {
+		c.StartedAgoMs += age.Milliseconds()
+		c.EndedAgoMs += age.Milliseconds()
+	}
+}
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -18,6 +18,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
+	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 // maxRecords bounds the number of records; the oldest one makes room for a new one.
@@ -28,7 +29,9 @@
 	View      membership.View
 	Caller    peer.Caller
 	Registrar peer.Registrar
-	Scope     tally.Scope
+	// Table keeps the records of refused requests for the case that all hosts are lost; nil means that nothing is kept.
+	Table store.Table
+	Scope tally.Scope
 }
 
 // Registry holds the records of a host. It is safe for concurrent use.
@@ -37,8 +40,10 @@
 	// count is the number of records, so that hosts which know no suspect need no lock.
 	count atomic.Int64
 	wake  chan struct{}
-	group conc.WaitGroup
-	stop  context.CancelFunc
+	// wakeWriter wakes writeLoop.
+	wakeWriter chan struct{}
+	group      conc.WaitGroup
+	stop       context.CancelFunc
 
 	crashes, verdicts tally.Counter
 	suspects          tally.Gauge
@@ -49,6 +54,8 @@
 	pending map[uint64]pendingRecord
 	// outboxes holds the outboxes of the hosts to which records are being sent.
 	outboxes map[receiver]outbox
+	// unwritten holds the fingerprints of the records to be written to the platform's table.
+	unwritten map[uint64]bool
 }
 
 // New registers the RPC handlers. The registry exchanges records with other hosts from Start on.
@@ -58,9 +65,9 @@
 	}
 	scope := o.Scope.SubScope("poison")
 	r := &Registry{
-		opts: o, wake: make(chan struct{}, 1), stop: func() {}, records: map[uint64]*record{}, pending: map[uint64]pendingRecord{},
-		outboxes: map[receiver]outbox{},
-		crashes:  scope.Counter("crashes"), verdicts: scope.Counter("verdicts"), suspects: scope.Gauge("records"),
+		opts: o, wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), stop: func() {}, records: map[uint64]*record{}, pending: map[uint64]pendingRecord{},
+		outboxes: map[receiver]outbox{}, unwritten: map[uint64]bool{},
+		crashes: scope.Counter("crashes"), verdicts: scope.Counter("verdicts"), suspects: scope.Gauge("records"),
 	}
 	o.Registrar.Handle(methodReport, r.handleReport)
 	o.Registrar.Handle(methodRecords, r.handleRecords)
@@ -163,7 +170,12 @@
 	}
 	before := known.strikes()
 	known.merge(o)
-	r.logVerdict(fingerprint, known, before)
+	if strikes := known.strikes(); strikes > before && strikes >= 2 {
+		r.logVerdict(fingerprint, known, strikes)
+		if to == toAll { // this host has seen the crash; others know the record from here
+			r.persist(fingerprint)
+		}
+	}
 	r.count.Store(int64(len(r.records)))
 	r.suspects.Update(float64(len(r.records)))
 	if to != 0 {
@@ -196,12 +208,8 @@
 	}
 }
 
-// logVerdict logs that a request is refused from now on. before is the number of strikes before the last change.
-func (r *Registry) logVerdict(fingerprint uint64, known *record, before int) {
-	strikes := known.strikes()
-	if strikes <= before || strikes < 2 {
-		return
-	}
+// logVerdict logs that a request is refused from now on.
+func (r *Registry) logVerdict(fingerprint uint64, known *record, strikes int) {
 	r.verdicts.Inc(1)
 	last := known.crashes[len(known.crashes)-1]
 	log.Warn().Str("step", "poison").Str("fingerprint", strconv.FormatUint(fingerprint, 36)).Int("strikes", strikes).
--- a/pkg/poison/spread.go
+++ b/pkg/poison/spread.go
@@ -74,6 +74,10 @@
 	r.stop = cancel
 	r.group.Go(func() { r.sendLoop(ctx) })
 	r.group.Go(func() { r.fetchLoop(ctx) })
+	if r.opts.Table != nil {
+		r.group.Go(func() { r.writeLoop(ctx) })
+		r.group.Go(func() { r.loadOnce(ctx) })
+	}
 }
 
 // Close ends the exchange and returns when all goroutines have ended.
