--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -66,18 +65,6 @@
 	shares []share
 }
 
-// share is the part of this failure domain's requests that one failure domain serves.
-type share struct {
-	domain string
-	region string
-	// fraction is between 0 and 1.
-	fraction float64
-	// deficit is how many requests the domain has received below its fraction; it is negative if the domain has received more.
-	deficit float64
-	// bias is added to fraction for the width of the domain's hash range.
-	bias float64
-}
-
 // update moves the shares towards equal utilization, at most once per balanceInterval.
 func (b *balancer) update(d *dispatcher, now time.Time) {
 	if now.Sub(b.updatedAt) < balanceInterval {
@@ -163,89 +150,6 @@
 	return sum / float64(max(1, count))
 }
 
-// balancedShares returns the shares of the requests of failure domain own at which all failure domains have the same
-// utilization.
-func balancedShares(own string, loads []DomainLoad) []share {
-	slices.SortFunc(loads, func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
-	var slots, demand float64
-	for _, l := range loads {
-		slots += l.Slots
-		demand += l.Demand
-	}
-	if demand == 0 {
-		// The demand is unknown: assume that it is the same everywhere and needs all slots.
-		for i := range loads {
-			loads[i].Demand = max(slots, 1) / float64(len(loads))
-		}
-		demand = max(slots, 1)
-	}
-	level := maxLocalUtilization
-	if slots > 0 {
-		level = max(level, demand/slots)
-	}
-	var room float64
-	excess, ownDemand := 0.0, 0.0
-	for _, l := range loads {
-		if l.Domain == own {
-			ownDemand = l.Demand
-			excess = max(0, l.Demand-l.Slots*level)
-			continue
-		}
-		room += max(0, l.Slots*level-l.Demand)
-	}
-	away := 0.0
-	if ownDemand > 0 && room > 0 {
-		away = excess / ownDemand
-	}
-	shares := make([]share, len(loads))
-	for i, l := range loads {
-		shares[i] = share{domain: l.Domain, region: l.Region}
-		switch {
-		case l.Domain == own:
-			shares[i].fraction = 1 - away
-		case room > 0:
-			shares[i].fraction = away * max(0, l.Slots*level-l.Demand) / room
-		}
-	}
-	return shares
-}
-
-// limitShift returns the shares in from, moved towards those in to by at most maxShift, a fraction of all requests. A failure
-// domain that is missing in to loses its share at once.
-func limitShift(from, to []share, maxShift float64) []share {
-	next := slices.Clone(to)
-	var distance float64
-	for i := range next {
-		before := shareOf(from, next[i].domain)
-		next[i].deficit, next[i].bias = before.deficit, before.bias
-		distance += max(0, next[i].fraction-before.fraction)
-	}
-	if distance <= maxShift {
-		return next
-	}
-	sum := 0.0
-	for i := range next {
-		before := shareOf(from, next[i].domain)
-		next[i].fraction = before.fraction + (next[i].fraction-before.fraction)*maxShift/distance
-		sum += next[i].fraction
-	}
-	if sum > 0 {
-		for i := range next {
-			next[i].fraction /= sum
-		}
-	}
-	return next
-}
-
-func shareOf(shares []share, domain string) share {
-	for _, s := range shares {
-		if s.domain == domain {
-			return s
-		}
-	}
-	return share{}
-}
-
 // chooseDomain returns the failure domain to which a request is redirected, or an empty string if it is served in this one.
 func (b *balancer) chooseDomain(d *dispatcher, w *waiter, now time.Time) string {
 	if !d.balancingEnabled() || w.req.Forwarded || w.req.Attempt > 0 {
@@ -266,52 +170,6 @@
 	return chosen.domain
 }
 
-// pickShare selects the share whose hash range contains the object and charges the request to it. It selects the share with the
-// largest deficit instead if the request has no object, or if a deficit or surplus exceeds maxDeficit. It returns nil if there
-// are no shares.
-func (b *balancer) pickShare(object uint64) *share {
-	if len(b.shares) == 0 {
-		return nil
-	}
-	hashed, neediest := (*share)(nil), &b.shares[0]
-	position, sum := float64(mixHash(object)>>11)/(1<<53)*b.totalSpan(), 0.0
-	for i := range b.shares {
-		s := &b.shares[i]
-		s.deficit += s.fraction
-		s.bias += biasGain * s.deficit
-		sum += max(0, s.fraction+s.bias)
-		if hashed == nil && position < sum {
-			hashed = s
-		}
-		if s.deficit > neediest.deficit {
-			neediest = s
-		}
-	}
-	chosen := hashed
-	if chosen == nil || object == 0 || chosen.deficit < -maxDeficit || neediest.deficit > maxDeficit {
-		chosen = neediest
-	}
-	chosen.deficit--
-	return chosen
-}
-
-// totalSpan returns the sum of the widths of all hash ranges.
-func (b *balancer) totalSpan() float64 {
-	sum := 0.0
-	for _, s := range b.shares {
-		sum += max(0, s.fraction+s.bias)
-	}
-	return sum
-}
-
-// mixHash mixes all bits of an object's hash. The same hash selects the target within a failure domain, so that without mixing
-// the two selections would be correlated.
-func mixHash(object uint64) uint64 {
-	x := object ^ object>>31
-	x *= 0xbf58476d1ce4e5b9
-	return x ^ x>>27
-}
-
 // chooseHomeDomain returns the failure domain of a request that may be served in its home regions only: an empty string if this
 // one is in a home region, else the one with the largest share, or noDomain if there is none.
 func (b *balancer) chooseHomeDomain(w *waiter) string {
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
@@ -19,9 +17,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/poison"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
-)
-
-// Options holds the dependencies and parameters of a Manager.
+) // Options holds the dependencies and parameters of a Manager.
 type Options struct {
 	Store     *config.Store
 	View      membership.View
@@ -93,15 +89,6 @@
 	wake chan struct{}
 }
 
-// restartBackoff is the exponential backoff before a superseded dispatcher is started again. Without it, two hosts that each rank
-// first in their own view would keep superseding each other's dispatcher.
-type restartBackoff struct {
-	// until is when the dispatcher may start again.
-	until time.Time
-	// delay is the backoff without jitter; the next one is twice as long.
-	delay time.Duration
-}
-
 const (
 	// startupDelay is the time for two rounds of heartbeats, which a host waits after its start before it runs dispatchers.
 	// Without it, a restarted host whose view holds only itself would own every service and grant slots that are in use.
@@ -184,34 +171,6 @@
 	}
 }
 
-// reconcileDispatchers starts the dispatchers that this host owns and stops those of services without targets. A dispatcher that
-// this host no longer owns keeps running until the recover call of the new owner supersedes it, so that grants continue during
-// the handover.
-func (m *Manager) reconcileDispatchers() {
-	m.updateKnownHosts()
-	members := membership.Owners(m.opts.View, m.opts.FailureDomain)
-	served := map[string]bool{}
-	snap := m.opts.Store.Current()
-	for _, o := range snap.List(config.KindService) {
-		service := o.GetService().GetName()
-		// With load balancing between failure domains, the dispatcher of a service without local targets redirects requests.
-		if len(snap.Targets(service, m.opts.FailureDomain)) == 0 && !snap.Policy(service).GetBalanceRegions() {
-			continue
-		}
-		for _, key := range shardKeys(snap, service, m.opts.FailureDomain) {
-			served[key] = true
-			if order := rankHosts(key, members); len(order) > 0 && order[0].Host == m.self.Host {
-				m.startDispatcher(key)
-			}
-		}
-	}
-	for service := range m.running() {
-		if !served[service] {
-			m.stopDispatcher(service)
-		}
-	}
-}
-
 // running returns a copy of the map of running dispatchers.
 func (m *Manager) running() map[string]*dispatcher {
 	m.mu.Lock()
@@ -256,129 +215,9 @@
 	return list
 }
 
-// startDispatcher starts a dispatcher with a new term, unless one is running or its restart backoff has not ended.
-func (m *Manager) startDispatcher(service string) {
-	if m.dispatcher(service) != nil || m.inBackoff(service) {
-		return
-	}
-	id := dispatcherID{host: m.self.Host, incarnation: m.self.Incarnation, term: m.state(service).nextTerm()}
-	d := newDispatcher(m, service, id)
-	if !m.addDispatcher(service, d) {
-		return
-	}
-	log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).Msg("dispatcher starts")
-	m.group.Go(func() {
-		d.run()
-		if d.superseded {
-			log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).
-				Str("newest", m.state(service).followed().host).Msg("dispatcher is superseded")
-			m.scheduleRestart(d)
-		}
-	})
-}
-
-// addDispatcher adds a dispatcher to those that run. It returns false after Close, because the dispatcher would never run, and
-// stopDispatcher would wait for its end. It is called in a goroutine that Close waits for.
-func (m *Manager) addDispatcher(service string, d *dispatcher) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.closed {
-		m.dispatchers[service] = d
-	}
-	return !m.closed
-}
-
-func (m *Manager) inBackoff(service string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return time.Now().Before(m.backoffs[service].until)
-}
-
-// scheduleRestart removes a superseded dispatcher and lets reconcileDispatchers start another one after a backoff, if this host
-// is still the owner.
-func (m *Manager) scheduleRestart(d *dispatcher) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.dispatchers[d.service] == d {
-		delete(m.dispatchers, d.service)
-	}
-	backoff := initialBackoff
-	if r := m.backoffs[d.service]; time.Since(r.until) < maxBackoff {
-		backoff = min(2*r.delay, maxBackoff)
-	}
-	// The jitter is derived from the host name: competing hosts wait for different times, so that one completes its recovery.
-	jittered := backoff + backoff*time.Duration(xxhash.Sum64String(m.self.Host)%64)/64
-	m.backoffs[d.service] = restartBackoff{until: time.Now().Add(jittered), delay: backoff}
-	time.AfterFunc(jittered, func() {
-		select {
-		case m.wake <- struct{}{}:
-		default:
-		}
-	})
-}
-
-// stopDispatcher stops a dispatcher, if it is running, and waits until it has ended.
-func (m *Manager) stopDispatcher(service string) {
-	m.mu.Lock()
-	d := m.dispatchers[service]
-	delete(m.dispatchers, service)
-	m.mu.Unlock()
-	if d != nil {
-		close(d.stop)
-		<-d.done
-	}
-}
-
 // dispatcher returns this host's dispatcher of a service, or nil.
 func (m *Manager) dispatcher(service string) *dispatcher {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.dispatchers[service]
 }
-
-// HeldPermits returns the number of permits that this host uses and their latest deadline, per service and target. Heartbeats
-// carry it.
-func (m *Manager) HeldPermits() []*peerv1.HeldPermits {
-	now := time.Now()
-	m.mu.Lock()
-	states := make(map[string]*clientState, len(m.clientStates))
-	for service, s := range m.clientStates {
-		states[service] = s
-	}
-	m.mu.Unlock()
-	var list []*peerv1.HeldPermits
-	for service, s := range states {
-		list = append(list, s.heldCounts(service, now)...)
-	}
-	return list
-}
-
-// heldCounts returns the permits in use per target. The deadlines are relative to now.
-func (s *clientState) heldCounts(service string, now time.Time) []*peerv1.HeldPermits {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	byTarget := map[string]*peerv1.HeldPermits{}
-	var list []*peerv1.HeldPermits
-	for _, h := range s.inUse(now) {
-		c := byTarget[h.target]
-		if c == nil {
-			c = &peerv1.HeldPermits{Service: service, Target: h.target}
-			byTarget[h.target] = c
-			list = append(list, c)
-		}
-		c.Count++
-		c.LatestDeadlineMs = max(c.LatestDeadlineMs, ceilMilliseconds(h.deadline.Sub(now)))
-	}
-	return list
-}
-
-// Headroom returns the free slots, total slots, queue delay and demand reported by each dispatcher that runs on this host.
-func (m *Manager) Headroom() []*peerv1.ServiceHeadroom {
-	var list []*peerv1.ServiceHeadroom
-	for _, d := range m.running() {
-		if h := d.headroom(); h != nil {
-			list = append(list, h)
-		}
-	}
-	return list
-}
--- a/pkg/permit/permittest/cluster.go
+++ b/pkg/permit/permittest/cluster.go
@@ -5,21 +5,11 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/rattanhitch/rattanhitch/pkg/config"
-	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// Heartbeat interval and failure detector timeouts of the design.
-const (
-	HeartbeatInterval = 200 * time.Millisecond
-	suspectAfter      = time.Second
-	deadAfter         = 2 * time.Second
-)
-
 // Cluster is a failure domain of hosts, each with a permit.Manager.
 type Cluster struct {
 	Network *Network
@@ -82,19 +72,6 @@
 	resumed chan struct{}
 }
 
-// peerState is what a host has received from another one in heartbeats.
-type peerState struct {
-	member membership.Member
-	held   []*peerv1.HeldPermits
-	// sentAt is when the last received heartbeat was sent.
-	sentAt time.Time
-	// heartbeats holds the send and receive times of all heartbeats of this incarnation.
-	heartbeats [][2]time.Time
-	receivedAt time.Time
-}
-
-var _ membership.View = (*Host)(nil)
-
 // Add starts a host, or a new incarnation of a host that was killed. Its view starts with itself and fills by heartbeats.
 func (c *Cluster) Add(name string) *Host {
 	now := time.Now()
@@ -202,81 +179,6 @@
 	}
 }
 
-// sendHeartbeats sends heartbeats and runs the failure detector until the host is killed.
-func (h *Host) sendHeartbeats() {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.stop:
-			return
-		case <-ticker.C:
-		}
-		h.waitWhilePaused()
-		h.detectFailures()
-		held := h.HeldPermits()
-		for _, other := range h.cluster.Hosts() {
-			if other != h {
-				go h.send(other, held)
-			}
-		}
-	}
-}
-
-func (h *Host) send(to *Host, held []*peerv1.HeldPermits) {
-	sent := time.Now()
-	if h.cluster.Network.deliver(h.Member.Host, to.Member.Host) {
-		to.receiveHeartbeat(h.Member, held, sent)
-	}
-}
-
-// receiveHeartbeat records a heartbeat unless a later one, or one of a newer incarnation, was received before.
-func (h *Host) receiveHeartbeat(from membership.Member, held []*peerv1.HeldPermits, sentAt time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	known := h.peers[from.Host]
-	if known != nil && (known.member.Incarnation > from.Incarnation || known.sentAt.After(sentAt)) {
-		return
-	}
-	changed := known == nil || known.member.Incarnation != from.Incarnation || known.member.State != membership.StateAlive
-	next := &peerState{member: from, held: held, sentAt: sentAt, receivedAt: time.Now()}
-	if known != nil && known.member.Incarnation == from.Incarnation {
-		next.heartbeats = known.heartbeats
-	}
-	next.heartbeats = append(next.heartbeats, [2]time.Time{sentAt, next.receivedAt})
-	h.peers[from.Host] = next
-	if changed {
-		h.notify()
-	}
-}
-
-func (h *Host) notify() {
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
-// detectFailures marks hosts as suspect or dead by the time since their last heartbeat.
-func (h *Host) detectFailures() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, p := range h.peers {
-		if name == h.Member.Host {
-			continue
-		}
-		state := membership.StateAlive
-		switch silent := time.Since(p.receivedAt); {
-		case silent > deadAfter:
-			state = membership.StateDead
-		case silent > suspectAfter:
-			state = membership.StateSuspect
-		}
-		if state != p.member.State {
-			p.member.State = state
-			h.notify()
-		}
-	}
-}
-
 // Leave marks the host as leaving in its own view. Its heartbeats do not tell the others.
 func (h *Host) Leave() {
 	h.mu.Lock()
@@ -285,64 +187,6 @@
 	h.notify()
 }
 
-// Self implements membership.View.
-func (h *Host) Self() membership.Member {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.peers[h.Member.Host].member
-}
-
-// Domain implements membership.View.
-func (h *Host) Domain(failureDomain string) []membership.Member {
-	return slices.DeleteFunc(h.All(), func(m membership.Member) bool {
-		return m.State == membership.StateLeaving || m.FailureDomain != failureDomain
-	})
-}
-
-// All implements membership.View.
-func (h *Host) All() []membership.Member {
-	list := h.cluster.otherMembers()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, p := range h.peers {
-		if p.member.State != membership.StateDead {
-			list = append(list, p.member)
-		}
-	}
-	slices.SortFunc(list, compareNames)
-	return list
-}
-
-// Lookup implements membership.View.
-func (h *Host) Lookup(host string) (membership.Member, bool) {
-	if m, ok := h.lookupOwnDomain(host); ok {
-		return m, true
-	}
-	others := h.cluster.otherMembers()
-	if i := slices.IndexFunc(others, func(m membership.Member) bool { return m.Host == host }); i >= 0 {
-		return others[i], true
-	}
-	return membership.Member{}, false
-}
-
-func (h *Host) lookupOwnDomain(host string) (membership.Member, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.peers[host]
-	if p == nil {
-		return membership.Member{}, false
-	}
-	return p.member, true
-}
-
-// Changed implements membership.View.
-func (h *Host) Changed() <-chan struct{} {
-	h.waitWhilePaused()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.changed
-}
-
 // SetLoads sets the reported loads of services in other failure domains.
 func (h *Host) SetLoads(loads []permit.DomainLoad) {
 	h.mu.Lock()
@@ -355,50 +199,3 @@
 	defer h.mu.Unlock()
 	return h.loads
 }
-
-// LastReportedPermits returns the permits that a host reported in the last heartbeat received from it, with deadlines relative to now.
-func (h *Host) LastReportedPermits(host string) []*peerv1.HeldPermits {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.peers[host]
-	if p == nil {
-		return nil
-	}
-	age := uint32(time.Since(p.receivedAt).Milliseconds())
-	var list []*peerv1.HeldPermits
-	for _, held := range p.held {
-		if held.GetLatestDeadlineMs() > age {
-			left := proto.CloneOf(held)
-			left.LatestDeadlineMs -= age
-			list = append(list, left)
-		}
-	}
-	return list
-}
-
-func compareNames(a, b membership.Member) int {
-	if a.Host < b.Host {
-		return -1
-	}
-	if a.Host > b.Host {
-		return 1
-	}
-	return 0
-}
-
-// LastHeartbeatBefore returns the send time of the last heartbeat that arrived from this incarnation of a member before the given
-// time, or the zero time if none did.
-func (h *Host) LastHeartbeatBefore(from membership.Member, before time.Time) time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.peers[from.Host]
-	if p == nil || p.member.Incarnation != from.Incarnation {
-		return time.Time{}
-	}
-	for _, beat := range slices.Backward(p.heartbeats) {
-		if beat[1].Before(before) {
-			return beat[0]
-		}
-	}
-	return time.Time{}
-}
