Decide in one place whether a host is gone

It is a function of pkg/membership now. The split of the manager had left a comment behind a closing parenthesis.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -51,6 +51,12 @@
 	return members
 }
 
+// IsGone reports whether a member has left the view, is dead or has restarted, so that it will not answer a call.
+func IsGone(view View, m Member) bool {
+	known, ok := view.Lookup(m.Host)
+	return !ok || known.State == StateDead || known.Incarnation != m.Incarnation
+}
+
 // View is read access to the member table. Returned slices are sorted by host name and must not be modified.
 type View interface {
 	// Self returns this host.
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -95,7 +95,7 @@
 	}
 	for {
 		changed := m.opts.View.Changed()
-		if m.isGone(host) {
+		if membership.IsGone(m.opts.View, host) {
 			break
 		}
 		select {
@@ -116,12 +116,6 @@
 	return acquireResult{}
 }
 
-// isGone reports whether a host has left the view, is dead or has restarted, so that it will not answer a call.
-func (m *Manager) isGone(host membership.Member) bool {
-	known, ok := m.opts.View.Lookup(host.Host)
-	return !ok || known.State == membership.StateDead || known.Incarnation != host.Incarnation
-}
-
 // callAcquire sends the acquire call. A call that fails here may have been granted, so it is cancelled at the dispatcher.
 func (m *Manager) callAcquire(ctx context.Context, state *clientState, req Request, host membership.Member) acquireResult {
 	resp := &peerv1.AcquireResponse{}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -17,7 +17,9 @@
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/poison"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
-) // Options holds the dependencies and parameters of a Manager.
+)
+
+// Options holds the dependencies and parameters of a Manager.
 type Options struct {
 	Store     *config.Store
 	View      membership.View
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -94,7 +94,7 @@
 			d.send(recoverSucceeded{from, resp})
 			return
 		}
-		gone := d.manager.isGone(member)
+		gone := membership.IsGone(d.manager.opts.View, member)
 		if !d.send(recoverFailed{from, gone}) || gone {
 			return
 		}
--- a/pkg/poison/outbox.go
+++ b/pkg/poison/outbox.go
@@ -52,7 +52,7 @@
 		if err == nil {
 			continue
 		}
-		if r.isGone(to) || !sleep.For(ctx, retryInterval) {
+		if membership.IsGone(r.opts.View, to) || !sleep.For(ctx, retryInterval) {
 			r.dropOutbox(key)
 			log.Info().Str("step", "poison").Str("peer", to.Host).Err(err).Msg("records of suspect requests were not sent")
 			return
@@ -61,12 +61,6 @@
 	}
 }
 
-// isGone reports whether a host has left the view, is dead or has restarted.
-func (r *Registry) isGone(m membership.Member) bool {
-	known, ok := r.opts.View.Lookup(m.Host)
-	return !ok || known.State == membership.StateDead || known.Incarnation != m.Incarnation
-}
-
 // takeOutbox empties an outbox, or removes it if it is empty.
 func (r *Registry) takeOutbox(key receiver) []uint64 {
 	r.mu.Lock()
