--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -162,86 +161,6 @@
 	return errors.Join(problems...)
 }
 
-// Validate checks all settings and returns one joined error for all invalid ones, each with the flag, the value and the rule.
-func (s *Settings) Validate() error {
-	var problems []error
-	addProblem := func(flag string, value any, allowed string) {
-		problems = append(problems, fmt.Errorf("--%s=%v: %s", flag, value, allowed))
-	}
-	required := map[string]string{"host": s.Host, "failure-domain": s.FailureDomain, "region": s.Region}
-	for _, flag := range []string{"host", "failure-domain", "region"} {
-		if !ValidName(required[flag]) {
-			addProblem(flag, required[flag], "must be 1 to 63 letters, digits, dots, dashes or underscores")
-		}
-	}
-	for _, a := range []struct{ flag, value string }{
-		{"caller-listen", s.CallerListen}, {"operator-listen", s.OperatorListen}, {"peer-listen", s.PeerListen},
-	} {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			addProblem(a.flag, a.value, "must be an IP number and a port, such as 127.0.0.1:8080")
-		}
-	}
-	if _, err := netip.ParseAddrPort(s.MetricsListen); err != nil && s.MetricsListen != "" {
-		addProblem("metrics-listen", s.MetricsListen, "must be empty or an IP number and a port")
-	}
-	for _, seed := range s.Seeds {
-		if _, err := netip.ParseAddrPort(seed); err != nil {
-			addProblem("seeds", seed, "must be an IP number and a port")
-		}
-	}
-	if s.DispatchDomain != "" && !ValidName(s.DispatchDomain) {
-		addProblem("dispatch-domain", s.DispatchDomain, "must be empty or 1 to 63 letters, digits, dots, dashes or underscores")
-	}
-	if !(s.RetryPercent >= 0 && s.RetryPercent <= 100) {
-		addProblem("retry-percent", s.RetryPercent, "must be from 0 to 100")
-	}
-	if s.RetryBurst < 0 {
-		addProblem("retry-burst", s.RetryBurst, "must be at least 0")
-	}
-	if !(s.ShiftPercent > 0 && s.ShiftPercent <= 100) {
-		addProblem("shift-percent", s.ShiftPercent, "must be above 0 and at most 100")
-	}
-	if s.ShiftWindow < minShiftWindow {
-		addProblem("shift-window", s.ShiftWindow, "must be at least 100ms")
-	}
-	if s.MinDomainHosts < 1 || s.MinDomainHosts > maxDomainHosts {
-		addProblem("min-domain-hosts", s.MinDomainHosts, "must be from 1 to 1000")
-	}
-	if s.AnnounceFor < 0 || s.AnnounceFor > maxAnnounceFor {
-		addProblem("announce-for", s.AnnounceFor, "must be from 0s to 1m")
-	}
-	if s.DrainTimeout < minDrainTimeout {
-		addProblem("drain-timeout", s.DrainTimeout, "must be at least 1s")
-	}
-	if s.LookupTTL < minLookupTTL || s.LookupTTL > maxLookupTTL {
-		addProblem("lookup-ttl", s.LookupTTL, "must be from 1s to 1h")
-	}
-	if s.MaxHeaderBytes < minHeaderBytes || s.MaxHeaderBytes > maxHeaderBytes {
-		addProblem("max-header-bytes", s.MaxHeaderBytes, "must be from 4096 to 1048576")
-	}
-	if s.HeapTargetMiB < 1 || s.HeapTargetMiB > 1<<20 {
-		addProblem("heap-target-mib", s.HeapTargetMiB, "must be from 1 to 1048576")
-	}
-	if s.Capacity < 1 || s.Capacity > 1<<20 {
-		addProblem("capacity", s.Capacity, "must be from 1 to 1048576")
-	}
-	if s.MaxProcs < 0 || s.MaxProcs > 1024 {
-		addProblem("max-procs", s.MaxProcs, "must be from 0 to 1024")
-	}
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		addProblem("log-level", s.LogLevel, "must be debug, info, warn or error")
-	}
-	if (s.TLSCert == "") != (s.TLSKey == "") {
-		addProblem("tls-cert", s.TLSCert, "--tls-cert and --tls-key go together")
-	}
-	if s.OperatorToken == "" && s.TLSCA == "" && !IsLoopback(s.OperatorListen) {
-		addProblem("operator-listen", s.OperatorListen, "needs --operator-token or --tls-ca unless bound to loopback")
-	}
-	return errors.Join(problems...)
-}
-
 // EffectiveDispatchDomain returns the name of the dispatch domain: DispatchDomain, or FailureDomain if that is empty.
 func (s *Settings) EffectiveDispatchDomain() string { return cmp.Or(s.DispatchDomain, s.FailureDomain) }
 
