Name the fields of permit messages as the code that uses them does

affinity, follows, patience_ms, elsewhere and remembered needed an explanation; they are object_hash, follows_redirects, queue_timeout_ms, redirect_to and cached.

--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -211,5 +211,5 @@
 
 // redirectResponse tells the caller of an acquire call where its request goes.
 func redirectResponse(domain string) *peerv1.AcquireResponse {
-	return &peerv1.AcquireResponse{Result: &peerv1.AcquireResponse_Elsewhere{Elsewhere: domain}}
+	return &peerv1.AcquireResponse{Result: &peerv1.AcquireResponse_RedirectTo{RedirectTo: domain}}
 }
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -129,7 +129,7 @@
 			Decision: decisionOf(r.GetDecision(), host.Host),
 		}}
 	}
-	if domain := resp.GetElsewhere(); domain != "" {
+	if domain := resp.GetRedirectTo(); domain != "" {
 		return acquireResult{redirectTo: domain}
 	}
 	p := resp.GetPermit()
@@ -147,9 +147,9 @@
 		RequestId: req.ID, Service: req.Service, Route: req.Route, Class: req.Class,
 		TimeoutMs: ceilMilliseconds(time.Until(req.Deadline)), Fingerprint: req.Fingerprint, Command: req.Command,
 		Forwarded: req.Forwarded, Shifted: req.Shifted, Hedge: req.Hedge, Attempt: uint32(req.Attempt),
-		ExcludeTargets: req.ExcludeTargets, Newest: newest.proto(), Affinity: req.ObjectHash, Priority: req.Priority,
-		ObjectiveMs: encodeObjective(req.Objective), HomeRegions: req.HomeRegions, Follows: req.FollowsRedirects,
-		PatienceMs: ceilMilliseconds(req.QueueTimeout),
+		ExcludeTargets: req.ExcludeTargets, Newest: newest.proto(), ObjectHash: req.ObjectHash, Priority: req.Priority,
+		ObjectiveMs: encodeObjective(req.Objective), HomeRegions: req.HomeRegions, FollowsRedirects: req.FollowsRedirects,
+		QueueTimeoutMs: ceilMilliseconds(req.QueueTimeout),
 	}
 }
 
--- a/pkg/permit/decision.go
+++ b/pkg/permit/decision.go
@@ -30,13 +30,13 @@
 func (decision Decision) proto() *peerv1.Decision {
 	return &peerv1.Decision{
 		FreeSlots: uint32(decision.FreeSlots), TotalSlots: uint32(decision.TotalSlots), Waiting: uint32(decision.Waiting),
-		ExpectedMs: ceilMilliseconds(decision.ExpectedDuration), Remembered: decision.Cached,
+		ExpectedMs: ceilMilliseconds(decision.ExpectedDuration), Cached: decision.Cached,
 	}
 }
 
 func decisionOf(m *peerv1.Decision, dispatcher string) Decision {
 	return Decision{
 		Dispatcher: dispatcher, FreeSlots: int(m.GetFreeSlots()), TotalSlots: int(m.GetTotalSlots()), Waiting: int(m.GetWaiting()),
-		ExpectedDuration: time.Duration(m.GetExpectedMs()) * time.Millisecond, Cached: m.GetRemembered(),
+		ExpectedDuration: time.Duration(m.GetExpectedMs()) * time.Millisecond, Cached: m.GetCached(),
 	}
 }
--- a/pkg/permit/handlers.go
+++ b/pkg/permit/handlers.go
@@ -41,9 +41,9 @@
 		ID: msg.GetRequestId(), Service: msg.GetService(), Route: msg.GetRoute(), Class: msg.GetClass(), Deadline: deadline,
 		Fingerprint: msg.GetFingerprint(), Command: msg.GetCommand(), Forwarded: msg.GetForwarded(),
 		Shifted: msg.GetShifted(), Hedge: msg.GetHedge(), Attempt: int(msg.GetAttempt()),
-		ExcludeTargets: msg.GetExcludeTargets(), ObjectHash: msg.GetAffinity(), Priority: msg.GetPriority(),
+		ExcludeTargets: msg.GetExcludeTargets(), ObjectHash: msg.GetObjectHash(), Priority: msg.GetPriority(),
 		Objective: decodeObjective(msg.GetObjectiveMs(), time.Now()), HomeRegions: msg.GetHomeRegions(),
-		FollowsRedirects: msg.GetFollows(), QueueTimeout: time.Duration(msg.GetPatienceMs()) * time.Millisecond,
+		FollowsRedirects: msg.GetFollowsRedirects(), QueueTimeout: time.Duration(msg.GetQueueTimeoutMs()) * time.Millisecond,
 	}
 }
 
