Let old crashes make room in the record of a poison request

Found by reading. A record keeps eight crashes, and dropped the newest when it was full: a request with eight crashes was refused until ten minutes after the eighth, and from then on ran without any restriction, because its later crashes did not count. The oldest ones make room now, and those that ended ten minutes before the last one. TestOldCrashesMakeRoom failed before.

--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -42,20 +42,24 @@
 	answeredAt time.Time
 }
 
-// add adds a crash and reports whether the record has changed.
+// add adds a crash and reports whether the record has changed. Crashes that ended poisonTTL before the last one, and the oldest of more
+// than maxCrashes, make room.
 func (r *record) add(c Crash) bool {
 	if !c.Ended.After(r.answeredAt) {
 		return false
 	}
 	known := func(o Crash) bool { return o.Target == c.Target && c.Ended.Sub(o.Ended).Abs() < restartTime }
-	if len(r.crashes) >= maxCrashes || slices.ContainsFunc(r.crashes, known) {
+	if slices.ContainsFunc(r.crashes, known) {
 		return false
 	}
 	r.crashes = append(r.crashes, c)
 	slices.SortFunc(r.crashes, func(a, b Crash) int {
 		return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Target, b.Target))
 	})
-	return true
+	last := r.lastEnd()
+	r.crashes = slices.DeleteFunc(r.crashes, func(o Crash) bool { return last.Sub(o.Ended) > poisonTTL })
+	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
+	return slices.Contains(r.crashes, c)
 }
 
 // answered adds an answer and reports whether the record has changed.
--- a/pkg/poison/record_test.go
+++ b/pkg/poison/record_test.go
@@ -117,3 +117,18 @@
 	is.Equal(later.crashes[0].Ended, epoch.Add(time.Hour+2*time.Second))
 	is.True(decode((&record{}).encode(7, now), now).answeredAt.IsZero())
 }
+
+// Guards against a request that is never recognised again because its record is full of crashes that no longer count.
+func TestOldCrashesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	r := &record{}
+	for i := range 2 * maxCrashes {
+		r.add(run(strconv.Itoa(i), "d1", float64(2*i), float64(2*i)+1))
+	}
+	is.Equal(len(r.crashes), maxCrashes)
+	is.Equal(r.lastEnd(), epoch.Add((4*maxCrashes-1)*time.Second))
+	later := poisonTTL.Seconds() + 100
+	is.True(r.add(run("late", "d1", later, later+1)))
+	is.Equal(r.strikes(), 1) // as if it were the first
+	is.True(!r.add(run("older", "d1", 0, 1)))
+}
