Count an error that a target answers as an answer to a suspect request

Found by reading. A request that targets answer with 500 after one of them had ended under it was kept apart for ten minutes: one copy at a time in a failure domain. The release states whether a response header was read; TestErrorsOfTargetsAreAnswers fails without the check.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -129,7 +129,7 @@
 	a.targetEnded = lost && !a.acceptsConnections()
 	a.grant.Release(permit.Observation{
 		Outcome: outcome, FirstByte: a.firstByte, Total: total, Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
-		TargetAlive: lost && !a.targetEnded, RateLimit: a.info.RateLimit, RateLimitKnown: a.responded && !a.info.InstanceGone,
+		TargetAlive: lost && !a.targetEnded, Responded: a.responded && !a.info.InstanceGone, RateLimit: a.info.RateLimit,
 	})
 }
 
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -221,7 +221,7 @@
 		Fingerprint: r.fingerprint, Route: r.route, SlowdownPercent: uint32(max(0, r.observation.SlowdownPercent)),
 		TargetAlive: r.observation.TargetAlive,
 	}
-	if r.observation.RateLimitKnown {
+	if r.observation.Responded {
 		msg.RateLimit = &r.observation.RateLimit
 	}
 	return msg
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -83,10 +83,10 @@
 	TargetAlive bool
 	// SlowdownPercent is the service time that the target reports, as a percentage of its normal one; 0 if unknown.
 	SlowdownPercent int
-	// RateLimit is the number of requests per second that the target accepts from all hosts together; 0 if it states no limit.
-	// RateLimitKnown is set if there was a response that would have stated it.
-	RateLimit      float64
-	RateLimitKnown bool
+	// Responded is set if the header of the target's response was read. RateLimit is the number of requests per second that the target
+	// accepts from all hosts together, as the header states; 0 if it states no limit.
+	Responded bool
+	RateLimit float64
 }
 
 // Acquirer grants permits.
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -20,6 +20,10 @@
 	switch r.observation.Outcome {
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_OK:
 		d.manager.poison.Answered(r.fingerprint)
+	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR:
+		if r.observation.Responded {
+			d.manager.poison.Answered(r.fingerprint)
+		}
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST:
 		started := now.Add(-r.observation.Total)
 		if p != nil && p.key.dispatcher == d.id {
--- a/pkg/permit/poison_test.go
+++ b/pkg/permit/poison_test.go
@@ -87,6 +87,30 @@
 	})
 }
 
+// Guards against a suspect that is kept apart for minutes although targets answer it, if only with an error, and against a time-out that
+// counts as an answer.
+func TestErrorsOfTargetsAreAnswers(t *testing.T) {
+	for _, responded := range []bool{true, false} {
+		run(t, 1, 2, permittest.Objects(lookup), func(d *domain, is *is.I) {
+			h := d.Hosts()[0]
+			first, err := d.loseConnection(h, 7)
+			is.NoErr(err)
+			req := d.request("lookup", time.Second)
+			req.Fingerprint = 7
+			g, err := h.Acquire(context.Background(), req)
+			is.NoErr(err)
+			g.Release(permit.Observation{
+				Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR, Total: time.Millisecond, Responded: responded,
+			})
+			time.Sleep(10 * delay)
+			_, err = d.loseConnection(h, 7, first)
+			is.NoErr(err)
+			_, err = d.loseConnection(h, 7)
+			is.Equal(reason(err) == peerv1.RefusalReason_REFUSAL_REASON_POISON, !responded)
+		})
+	}
+}
+
 // Guards against an innocent request that is refused as poison because it was lost beside one copy of a poison request and then ran
 // beside another copy, which had started before.
 func TestInnocentBesideCopiesOfPoison(t *testing.T) {
--- a/pkg/permit/rate.go
+++ b/pkg/permit/rate.go
@@ -123,14 +123,14 @@
 
 // observeRateLimit applies the limit that the response of a released request stated.
 func (d *dispatcher) observeRateLimit(p *permit, o Observation, now time.Time) {
-	if o.RateLimitKnown {
+	if o.Responded {
 		p.target.reportRateLimit(rateReport{o.RateLimit, now}, d.meanHoldTime[p.class], now)
 	}
 }
 
 // recordRateLimit remembers the limit that a target stated to this host, for the next dispatcher.
 func (s *clientState) recordRateLimit(target string, o Observation) {
-	if !o.RateLimitKnown {
+	if !o.Responded {
 		return
 	}
 	s.mu.Lock()
--- a/pkg/permit/rate_test.go
+++ b/pkg/permit/rate_test.go
@@ -54,7 +54,7 @@
 							mu.Unlock()
 							time.Sleep(20 * time.Millisecond)
 							mu.Lock()
-							o := permit.Observation{Outcome: ok, Total: 20 * time.Millisecond, RateLimit: stated, RateLimitKnown: true}
+							o := permit.Observation{Outcome: ok, Total: 20 * time.Millisecond, RateLimit: stated, Responded: true}
 							mu.Unlock()
 							g.Release(o)
 						}
