Let relays write verdicts too, and name the isolation of suspects

A verdict may come from crashes that hosts of two failure domains saw; neither of them wrote the record then. The relays that pass a record on write it as well. The restrictions for suspects are called isolation instead of trial.

--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -37,7 +37,7 @@
 // target that is due for a probe takes precedence.
 func (d *dispatcher) chooseTarget(w *waiter, now time.Time) *target {
 	var best *target
-	restrictions := d.trialOf(w, now)
+	restrictions := d.isolationOf(w, now)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) ||
 			d.avoids(t, w, now) || !restrictions.allows(t) || !t.allowsRate(now) {
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -233,7 +233,7 @@
 // cached, rendezvous hashing decides among targets of similar speed, so that objects spread over the targets and keep their
 // target.
 func (d *dispatcher) bestTarget(w *waiter, now time.Time) (best *target, expected time.Duration) {
-	restrictions := d.trialOf(w, now)
+	restrictions := d.isolationOf(w, now)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) || d.avoids(t, w, now) ||
 			!restrictions.allows(t) || !t.allowsRate(now) {
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -73,29 +73,29 @@
 	}
 }
 
-// trial holds the restrictions for a request that may be poison. It runs at one target at a time, and not beside another such request:
+// isolation holds the restrictions for a request that may be poison. It runs at one target at a time, and not beside another such request:
 // if the target ends, the innocent requests there get their first strike and not their second.
-type trial struct {
+type isolation struct {
 	// running is set while another copy of the request is running.
 	running bool
 	// occupied holds the targets that run other suspects.
 	occupied map[*target]bool
 }
 
-// trialOf returns the restrictions for a request; there are none if it is no suspect.
-func (d *dispatcher) trialOf(w *waiter, now time.Time) trial {
+// isolationOf returns the restrictions for a request; there are none if it is no suspect.
+func (d *dispatcher) isolationOf(w *waiter, now time.Time) isolation {
 	if !d.manager.poison.IsSuspect(w.req.Fingerprint, now) {
-		return trial{}
+		return isolation{}
 	}
-	t := trial{occupied: map[*target]bool{}}
+	i := isolation{occupied: map[*target]bool{}}
 	for _, p := range d.slots.permits {
-		t.running = t.running || p.fingerprint == w.req.Fingerprint
+		i.running = i.running || p.fingerprint == w.req.Fingerprint
 		if d.manager.poison.IsSuspect(p.fingerprint, now) {
-			t.occupied[p.target] = true
+			i.occupied[p.target] = true
 		}
 	}
-	return t
+	return i
 }
 
 // allows reports whether the request may run at a target.
-func (t trial) allows(target *target) bool { return !t.running && !t.occupied[target] }
+func (i isolation) allows(t *target) bool { return !i.running && !i.occupied[t] }
--- a/pkg/poison/persist.go
+++ b/pkg/poison/persist.go
@@ -17,8 +17,9 @@
 
 // Records in the platform's table.
 //
-// All hosts may be lost at once, and their records with them. The records of requests that are refused are therefore written to the
-// platform's table, which is rare. A relay reads them some time after its start and sends them to the hosts of its failure domain.
+// All hosts may be lost at once, and their records with them. When a request is refused, the hosts that saw its crashes and the relays
+// write its record to the platform's table. A relay reads these rows some time after its start and sends them to the hosts of its
+// failure domain.
 
 const (
 	rowPrefix = "poison/"
@@ -99,8 +100,8 @@
 	return steperr.Wrap(err, "write record of a poison request", "platform")
 }
 
-// loadOnce reads the records in the platform's table if this host is a relay, and deletes those that have expired.
-func (r *Registry) loadOnce(ctx context.Context) {
+// loadRows reads the records in the platform's table if this host is a relay, and deletes those that have expired.
+func (r *Registry) loadRows(ctx context.Context) {
 	for sleep.For(ctx, loadDelay) && r.isRelay() {
 		err := r.load(ctx)
 		if err == nil {
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -65,8 +65,9 @@
 	}
 	scope := o.Scope.SubScope("poison")
 	r := &Registry{
-		opts: o, wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), stop: func() {}, records: map[uint64]*record{}, pending: map[uint64]pendingRecord{},
-		outboxes: map[receiver]outbox{}, unwritten: map[uint64]bool{},
+		opts: o, wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), stop: func() {},
+		records: map[uint64]*record{}, pending: map[uint64]pendingRecord{}, outboxes: map[receiver]outbox{},
+		unwritten: map[uint64]bool{},
 		crashes: scope.Counter("crashes"), verdicts: scope.Counter("verdicts"), suspects: scope.Gauge("records"),
 	}
 	o.Registrar.Handle(methodReport, r.handleReport)
@@ -172,7 +173,7 @@
 	known.merge(o)
 	if strikes := known.strikes(); strikes > before && strikes >= 2 {
 		r.logVerdict(fingerprint, known, strikes)
-		if to == toAll { // this host has seen the crash; others know the record from here
+		if to != 0 { // this host has seen a crash or is a relay; the crashes may have been seen by different hosts
 			r.persist(fingerprint)
 		}
 	}
--- a/pkg/poison/spread.go
+++ b/pkg/poison/spread.go
@@ -76,7 +76,7 @@
 	r.group.Go(func() { r.fetchLoop(ctx) })
 	if r.opts.Table != nil {
 		r.group.Go(func() { r.writeLoop(ctx) })
-		r.group.Go(func() { r.loadOnce(ctx) })
+		r.group.Go(func() { r.loadRows(ctx) })
 	}
 }
 
