--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -68,7 +68,7 @@
 		opts: o, wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), stop: func() {},
 		records: map[uint64]*record{}, pending: map[uint64]pendingRecord{}, outboxes: map[receiver]outbox{},
 		unwritten: map[uint64]bool{},
-		crashes: scope.Counter("crashes"), verdicts: scope.Counter("verdicts"), suspects: scope.Gauge("records"),
+		crashes:   scope.Counter("crashes"), verdicts: scope.Counter("verdicts"), suspects: scope.Gauge("records"),
 	}
 	o.Registrar.Handle(methodReport, r.handleReport)
 	o.Registrar.Handle(methodRecords, r.handleRecords)
