Give up sending records to a host that refuses them

A host of an earlier version answers reports of poison requests with an error, and the sender repeated them five times a second for as long as that host lived. The pause doubles up to 2 s now, and a sender gives up after about a minute.

--- a/pkg/poison/outbox.go
+++ b/pkg/poison/outbox.go
@@ -36,11 +36,13 @@
 	}
 }
 
-// sendOutbox sends the records in the outbox of a host until it is empty. It gives up if the host is gone: a host that starts, or whose
-// failure domain appears again, requests all records.
+// sendOutbox sends the records in the outbox of a host until it is empty. It gives up if the host is gone, because a host that starts, or
+// whose failure domain appears again, requests all records; and after maxAttempts, because a host of an earlier version refuses
+// them.
 func (r *Registry) sendOutbox(ctx context.Context, to membership.Member) {
 	key := receiver{to.Host, to.Incarnation}
-	for {
+	delay := retryInterval
+	for attempt := 1; ; attempt++ {
 		fingerprints := r.takeOutbox(key)
 		if len(fingerprints) == 0 {
 			return
@@ -50,14 +52,16 @@
 		}
 		err := r.call(ctx, to.Address(), methodReport, report, &peerv1.PoisonReportResponse{})
 		if err == nil {
+			attempt, delay = 0, retryInterval
 			continue
 		}
-		if membership.IsGone(r.opts.View, to) || !sleep.For(ctx, retryInterval) {
+		if attempt == maxAttempts || membership.IsGone(r.opts.View, to) || !sleep.For(ctx, delay) {
 			r.dropOutbox(key)
 			log.Info().Str("step", "poison").Str("peer", to.Host).Err(err).Msg("records of suspect requests were not sent")
 			return
 		}
 		r.returnToOutbox(key, fingerprints)
+		delay = min(2*delay, maxRetryInterval)
 	}
 }
 
--- a/pkg/poison/spread.go
+++ b/pkg/poison/spread.go
@@ -29,9 +29,12 @@
 	crashDelay = 5 * time.Millisecond
 	// answerDelay is the same for answers, which are not urgent and come one by one.
 	answerDelay = 200 * time.Millisecond
-	// callTimeout limits one call. A failed one is repeated after retryInterval.
-	callTimeout   = 500 * time.Millisecond
-	retryInterval = 200 * time.Millisecond
+	// callTimeout limits one call. A failed one is repeated after retryInterval; for reports that doubles up to maxRetryInterval, and
+	// maxAttempts limits them to about a minute.
+	callTimeout      = 500 * time.Millisecond
+	retryInterval    = 200 * time.Millisecond
+	maxRetryInterval = 2 * time.Second
+	maxAttempts      = 30
 	// startupPeers is the number of hosts of its failure domain from which a starting host requests all records.
 	startupPeers = 3
 )
