Close the connection below TLS when a handshake between hosts is ended

The function that ends a handshake at its time limit, or when the host stops, read the variable that the handshake replaces by the TLS connection. It closes the connection below TLS now, which may be closed at any time.

--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -12,11 +12,17 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
 
+// closeWhenDone closes a connection when ctx ends, unless stop is called before. The connection is the one below TLS, which can be closed
+// while a handshake is in progress.
+func closeWhenDone(ctx context.Context, conn net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = conn.Close() })
+}
+
 // clientHandshake sends the Hello of this host and returns the connection, with TLS if it is configured, and the identity in
 // the Hello of the peer.
 func (n *Node) clientHandshake(ctx context.Context, conn net.Conn, to Address, class SessionClass) (net.Conn, Identity, error) {
 	// If ctx ends, the connection is closed, which makes the read or write in progress return an error.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := closeWhenDone(ctx, conn)
 	defer stop()
 	if n.opts.TLS != nil {
 		conn = tls.Client(conn, clientTLS(n.opts.TLS, to))
@@ -35,7 +41,7 @@
 func (n *Node) serverHandshake(conn net.Conn) (net.Conn, Identity, SessionClass, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := closeWhenDone(ctx, conn)
 	defer stop()
 	if n.opts.TLS != nil {
 		conn = tls.Server(conn, n.opts.TLS)
