--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -58,8 +58,8 @@
 func (p *processFleet) start(name, program string, args ...string) {
 	p.t.Helper()
 	cmd := exec.Command(filepath.Join(p.bin, program), args...)
-	var stderr bytes.Buffer
-	cmd.Stderr, cmd.Stdout = &stderr, &stderr
+	output := &lockedBuffer{}
+	cmd.Stderr, cmd.Stdout = output, output
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -68,11 +68,29 @@
 	p.mu.Unlock()
 	p.t.Cleanup(func() {
 		if p.t.Failed() {
-			p.t.Logf("%s:\n%s", name, lastLines(stderr.String(), 10))
+			p.t.Logf("%s:\n%s", name, lastLines(output.String(), 10))
 		}
 	})
 }
 
+// lockedBuffer collects the output of a process, which may still write when a failed test reads it.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 func lastLines(s string, n int) string {
 	lines := strings.Split(strings.TrimSpace(s), "\n")
 	return strings.Join(lines[max(0, len(lines)-n):], "\n")
