Do not limit the requests in flight at a target with a rate limit

A way to it was found by reading: as many slots were used as the rate needs on average, often one, so that one request that takes long, or one lost permit, kept the target from getting others until its deadline. The token bucket alone limits the rate now; the average counts for balancing and admission only. TestSlowRequestDoesNotBlockALimitedTarget failed before (no request for 6 s) and passes.

--- a/pkg/permit/rate.go
+++ b/pkg/permit/rate.go
@@ -86,7 +86,8 @@
 	t.rateLimitSlots = max(1, int(r.perSecond*hold.Seconds()+0.5))
 }
 
-// usableSlots returns the slots that can be occupied at the target's rate limit.
+// usableSlots returns the slots that the target's requests occupy on average at its rate limit. They count for load balancing and for
+// admission. They do not limit the requests in flight: one that takes long would keep the target from getting others.
 func (t *target) usableSlots() int {
 	if t.rateLimit.rate <= 0 {
 		return t.slots
@@ -94,6 +95,9 @@
 	return min(t.slots, t.rateLimitSlots)
 }
 
+// freeAtRate returns how many of a number of free slots can be used at the target's rate limit.
+func (t *target) freeAtRate(free int) int { return min(free, max(0, t.usableSlots()-t.used)) }
+
 // allowsRate reports whether the rate limit and the limit of a cold target allow a request now.
 func (t *target) allowsRate(now time.Time) bool {
 	return t.rateLimit.allows(now) && t.allowsColdRequest(now)
--- a/pkg/permit/rate_test.go
+++ b/pkg/permit/rate_test.go
@@ -81,3 +81,32 @@
 		is.True(len(sent) > 4*int(limit*span.Seconds()))
 	})
 }
+
+// Guards against a target with a rate limit that gets no request for as long as one request there takes, or its permit is lost, because
+// only as many slots are used as the rate needs on average.
+func TestSlowRequestDoesNotBlockALimitedTarget(t *testing.T) {
+	one := permittest.Service{Name: "lookup", Domain: "d1", Targets: 1, Slots: 8}
+	run(t, 1, 2, permittest.Objects(one), func(d *domain, is *is.I) {
+		h := d.Hosts()[0]
+		short := permit.Observation{Outcome: ok, Total: 20 * time.Millisecond, Responded: true, RateLimit: 5}
+		served := 0
+		serve := func(until time.Time) {
+			for time.Now().Before(until) {
+				g, err := h.Acquire(context.Background(), d.request("lookup", time.Second))
+				if err != nil {
+					continue
+				}
+				time.Sleep(short.Total)
+				g.Release(short)
+				served++
+			}
+		}
+		serve(time.Now().Add(2 * time.Second))
+		slow, err := h.Acquire(context.Background(), d.request("lookup", time.Minute))
+		is.NoErr(err)
+		served = 0
+		serve(time.Now().Add(6 * time.Second))
+		is.True(served >= 20 && served <= 32)
+		slow.Release(short)
+	})
+}
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -188,7 +188,7 @@
 func (s *slotTable) totals() (free, total int) {
 	for _, t := range s.order {
 		if !t.closed && !t.health.down {
-			free += t.freeSlots()
+			free += t.freeAtRate(t.freeSlots())
 			total += t.usableSlots()
 		}
 	}
@@ -202,7 +202,7 @@
 		if t.closed || t.health.down {
 			continue
 		}
-		free += t.freeSlotsFor(class)
+		free += t.freeAtRate(t.freeSlotsFor(class))
 		if class == classLong {
 			usable += t.longSlots
 		} else {
--- a/pkg/permit/target.go
+++ b/pkg/permit/target.go
@@ -46,7 +46,7 @@
 	if t.closed {
 		return 0
 	}
-	return max(0, t.usableSlots()-t.used)
+	return max(0, t.slots-t.used)
 }
 
 // freeSlotsFor returns the number of free slots that a request class may occupy.
