Show that hosts cut off from all targets fail their callers

The tests cut two of three hosts of a failure domain, or all three, off from all targets: connections are reset, go silent, or live on while new ones are refused.

The frontend module takes the function that opens connections to targets, so that tests can cut them.

--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -40,7 +40,9 @@
 	next     int
 	// authority, if set, signs certificates for the operator and peer ports.
 	authority *testcert.Authority
-	targets   map[string]*target.Target
+	// links, if set, carries the connections from hosts to targets.
+	links   *targetLinks
+	targets map[string]*target.Target
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -91,6 +93,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if f.links != nil {
+		f.links.attach(f.t, app)
+	}
 	if err := app.Start(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/lookup"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
@@ -56,7 +57,9 @@
 // Module is the kernel module that serves callers.
 type Module struct {
 	// Entry handles all requests that are not for this system's own paths.
-	Entry    *entry.Handler
+	Entry *entry.Handler
+	// Dial opens connections to targets. Nil means net.Dialer. Set it before Provision.
+	Dial     upstream.DialFunc
 	members  *membership.Module
 	store    *config.Store
 	cancel   context.CancelFunc
@@ -140,6 +143,7 @@
 		RTT:        node.Node.RoundTripTime,
 		Forwarder:  node.Node,
 		Commands:   commands.Executor,
+		Dial:       m.Dial,
 		Dialect:    requestDialect,
 		Recorder:   burn.RequestRecorder{Recorder: counts.Recorder},
 		Pacer:      budgets.Pacer,
