Probe a target of the own failure domain before a host counts as isolated

A host in a failure domain that is partitioned from the others, but not from its own targets, took itself for isolated when the three random targets that it probed were beyond the partition, and sent all requests the longer way until two probes in a row met a near one. One of the probed targets is now in the host's own failure domain, and a probe may take 600 ms, because packets can wait for half a second at a busy link.

--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -31,7 +31,7 @@
 	// closes the connection.
 	idleMargin = time.Second
 	// dialTimeout limits how long opening a connection may take, directly and then through another host.
-	dialTimeout = 2 * time.Second
+	dialTimeout = 2500 * time.Millisecond
 	// acceptTimeout limits how long Accepts waits.
 	acceptTimeout = 200 * time.Millisecond
 	// sweepInterval is the minimum time between two searches for expired idle connections.
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -137,8 +137,9 @@
 	headroom := steering.NewHeadroom(s.EffectiveDispatchDomain(), waitTracker, m.members.Tracker)
 	planner := steering.NewPlanner(store, headroom, s.EffectiveDispatchDomain(), s.Region)
 	steerer := steering.NewSteerer(planner, m.members.Tracker, budgets.Admit)
+	targets := &domainTargets{store: store, domain: s.EffectiveDispatchDomain()}
 	m.tunnels = tunnel.New(tunnel.Options{
-		Dial: m.Dial, Forwarder: node.Node, Members: m.members.Tracker, Targets: newTargetAddresses(store, s.EffectiveDispatchDomain()).list,
+		Dial: m.Dial, Forwarder: node.Node, Members: m.members.Tracker, Targets: targets.list, Place: s.FailureDomain,
 		SetIsolated: m.setIsolated, Scope: scope.Scope,
 	})
 	m.Entry = entry.New(entry.Options{
--- a/pkg/frontend/targets.go
+++ b/pkg/frontend/targets.go
@@ -1,39 +1,38 @@
 package frontend
 
 import (
+	"cmp"
 	"sync/atomic"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
+	"github.com/rattanhitch/rattanhitch/pkg/tunnel"
 )
 
-// targetAddresses lists the addresses of the targets of a dispatch domain, once for each configuration.
-type targetAddresses struct {
+// domainTargets lists the targets of a dispatch domain, once for each configuration.
+type domainTargets struct {
 	store  *config.Store
 	domain string
-	latest atomic.Pointer[addressList]
+	latest atomic.Pointer[targetList]
 }
 
-type addressList struct {
-	snapshot  *config.Snapshot
-	addresses []string
+type targetList struct {
+	snapshot *config.Snapshot
+	targets  []tunnel.Target
 }
 
-func newTargetAddresses(store *config.Store, domain string) *targetAddresses {
-	return &targetAddresses{store: store, domain: domain}
-}
-
-// list returns the addresses in the current configuration. The caller must not modify them.
-func (t *targetAddresses) list() []string {
-	snapshot := t.store.Current()
-	if known := t.latest.Load(); known != nil && known.snapshot == snapshot {
-		return known.addresses
+// list returns the targets in the current configuration. The caller must not modify them.
+func (d *domainTargets) list() []tunnel.Target {
+	snapshot := d.store.Current()
+	if known := d.latest.Load(); known != nil && known.snapshot == snapshot {
+		return known.targets
 	}
-	fresh := &addressList{snapshot: snapshot}
+	fresh := &targetList{snapshot: snapshot}
 	for _, o := range snapshot.List(config.KindTarget) {
-		if target := o.GetTarget(); target.GetFailureDomain() == t.domain {
-			fresh.addresses = append(fresh.addresses, target.GetAddress())
+		t := o.GetTarget()
+		if t.GetFailureDomain() == d.domain {
+			fresh.targets = append(fresh.targets, tunnel.Target{Address: t.GetAddress(), Place: cmp.Or(t.GetPlace(), d.domain)})
 		}
 	}
-	t.latest.Store(fresh)
-	return fresh.addresses
+	d.latest.Store(fresh)
+	return fresh.targets
 }
--- a/pkg/tunnel/isolation.go
+++ b/pkg/tunnel/isolation.go
@@ -18,8 +18,8 @@
 const (
 	// controlTargets is the number of other targets that are probed when one accepts no connection.
 	controlTargets = 3
-	// probeTimeout limits the probe of a target.
-	probeTimeout = 300 * time.Millisecond
+	// probeTimeout limits the probe of a target. Packets may wait for half a second at an overloaded link.
+	probeTimeout = 600 * time.Millisecond
 	// checkValid is the time for which the result of a check is used again.
 	checkValid = 100 * time.Millisecond
 	// watchInterval is the time between two probes of an isolated host, and probesToRecover the number of consecutive successful ones
@@ -32,7 +32,8 @@
 // accepts one either, this host's own links are the likelier cause.
 type isolation struct {
 	dial        upstream.DialFunc
-	targets     func() []string
+	targets     func() []Target
+	place       string
 	setIsolated func(bool)
 	metrics     metrics
 	// active is set while this host is isolated.
@@ -53,7 +54,7 @@
 type check struct{ done chan struct{} }
 
 func newIsolation(opts Options, m metrics) *isolation {
-	i := &isolation{dial: opts.Dial, targets: opts.Targets, setIsolated: opts.SetIsolated, metrics: m}
+	i := &isolation{dial: opts.Dial, targets: opts.Targets, place: opts.Place, setIsolated: opts.SetIsolated, metrics: m}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
@@ -98,7 +99,7 @@
 
 // run probes other targets than the failed one. Without any, nothing can be concluded.
 func (i *isolation) run(c *check, failed string) {
-	controls := i.sample(controlTargets, failed)
+	controls := i.controls(failed)
 	isolated := len(controls) > 0 && !i.anyAccepts(controls) && i.ctx.Err() == nil
 	if isolated {
 		i.set(true)
@@ -118,8 +119,8 @@
 		if !sleep.For(i.ctx, watchInterval) {
 			return
 		}
-		probed := i.sample(1, "")
-		if len(probed) == 0 || i.anyAccepts(probed) {
+		targets := i.targets()
+		if len(targets) == 0 || i.anyAccepts(targets[rand.IntN(len(targets)):][:1]) {
 			successes++
 		} else {
 			successes = 0
@@ -135,24 +136,28 @@
 	i.setIsolated(isolated)
 }
 
-// sample returns up to n random targets, without the excluded one.
-func (i *isolation) sample(n int, excluded string) []string {
-	list := slices.DeleteFunc(slices.Clone(i.targets()), func(address string) bool { return address == excluded })
+// controls returns up to controlTargets random targets other than the failed one. One of them is in this host's failure domain, if it
+// has any: a partition between failure domains is no isolation.
+func (i *isolation) controls(failed string) []Target {
+	list := slices.DeleteFunc(slices.Clone(i.targets()), func(t Target) bool { return t.Address == failed })
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	return list[:min(n, len(list))]
+	if near := slices.IndexFunc(list, func(t Target) bool { return t.Place == i.place }); near > 0 {
+		list[0], list[near] = list[near], list[0]
+	}
+	return list[:min(controlTargets, len(list))]
 }
 
 // anyAccepts reports whether any of the targets accepts a connection. It returns at the first success.
-func (i *isolation) anyAccepts(addresses []string) bool {
+func (i *isolation) anyAccepts(targets []Target) bool {
 	ctx, cancel := context.WithTimeout(i.ctx, probeTimeout)
-	results := make(chan bool, len(addresses))
+	results := make(chan bool, len(targets))
 	var probes conc.WaitGroup
 	defer probes.Wait()
 	defer cancel()
-	for _, address := range addresses {
-		probes.Go(func() { results <- i.accepts(ctx, address) })
+	for _, t := range targets {
+		probes.Go(func() { results <- i.accepts(ctx, t.Address) })
 	}
-	for range addresses {
+	for range targets {
 		if <-results {
 			return true
 		}
--- a/pkg/tunnel/serve.go
+++ b/pkg/tunnel/serve.go
@@ -38,7 +38,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if !slices.Contains(d.opts.Targets(), address) {
+	if !slices.ContainsFunc(d.opts.Targets(), func(t Target) bool { return t.Address == address }) {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -30,14 +30,22 @@
 
 var errNoGateway = errors.New("this host is isolated, and no other host of the dispatch domain reaches targets")
 
+// Target is a target of the dispatch domain.
+type Target struct {
+	Address string
+	// Place is the failure domain in which the target physically is.
+	Place string
+}
+
 // Options are the dependencies of a Dialer. Scope may be nil.
 type Options struct {
 	// Dial opens a direct connection; nil means NewDirect().
 	Dial      upstream.DialFunc
 	Forwarder peer.Forwarder
 	Members   membership.View
-	// Targets returns the addresses of the targets of the dispatch domain.
-	Targets func() []string
+	// Targets returns the targets of the dispatch domain. Place is the failure domain of this host.
+	Targets func() []Target
+	Place   string
 	// SetIsolated is called when this host becomes isolated and when it reaches targets again; it may be nil.
 	SetIsolated func(isolated bool)
 	Scope       tally.Scope
