--- a/pkg/daemon/links_test.go
+++ b/pkg/daemon/links_test.go
@@ -153,3 +153,6 @@
 	c.links.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// SyscallConn lets hosts notice that an idle connection is closed, as they do with a plain one.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
