Do not probe targets that are down with retries, and count crashes that a gateway confirms

A request could use up its four attempts on probes of four targets that are down, while others serve: with four of six targets of a failure domain ended, reads were refused with target-unreachable. Only first attempts probe such targets now. TestRetryProbesNoUnreachableTarget failed before (third attempt).

A host that is cut off from all targets reported no crash at all, so that a poison request sent through such hosts would not be recognised. It now reports one if a gateway, which reaches other targets, finds that the target accepts no connection. TestIsolatedHostBlamesNoTarget covers the three results of the gateway.

--- a/pkg/entry/loss.go
+++ b/pkg/entry/loss.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 )
 
 // lossCause is why the connection to a target was lost.
@@ -17,7 +19,7 @@
 	lossConnectionOnly
 	// lossTargetEnded means that the target accepts no other connection.
 	lossTargetEnded
-	// lossHostIsolated means that this host reaches no target, so that it cannot tell what happened to this one.
+	// lossHostIsolated means that this host has lost its links to targets, and that no other host has told that this one has ended.
 	lossHostIsolated
 )
 
@@ -27,11 +29,13 @@
 	if a.silent {
 		return lossConnectionOnly
 	}
-	accepts := h.targets.Accepts(context.WithoutCancel(rq.ctx), a.grant.Address)
+	err := h.targets.Probe(context.WithoutCancel(rq.ctx), a.grant.Address)
+	isolated := h.opts.Paths.Isolated()
+	inconclusive := err == nil || errors.Is(err, context.DeadlineExceeded)
 	switch {
-	case h.opts.Paths.Isolated():
+	case isolated && inconclusive, errors.Is(err, upstream.ErrNoPath):
 		return lossHostIsolated
-	case accepts:
+	case err == nil:
 		return lossConnectionOnly
 	}
 	return lossTargetEnded
--- a/pkg/entry/loss_test.go
+++ b/pkg/entry/loss_test.go
@@ -30,17 +30,41 @@
 	return 0, os.NewSyscallError("read", syscall.ETIMEDOUT)
 }
 
-// Guards against a target, and a request, that are blamed for what an isolated host observes: its own links are the cause.
+// Guards against a target, and a request, that are blamed for what an isolated host observes: its own links are the cause. Guards also
+// against a poison request that goes unnoticed at an isolated host, although another host finds that the target has ended.
 func TestIsolatedHostBlamesNoTarget(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
-		is := is.New(t)
-		paths := &fixedPaths{isolated: true, reaches: true}
-		w := newFixture(t, 1, func(o *Options) { o.Paths = paths })
-		w.endingTarget(t, "ending")
-		is.Equal(w.do("GET", "/lookup/a", "").status, 200)
-		synctest.Wait()
-		w.checkReleased(is, outcomeCancelled, outcomeOK)
-	})
+	noPath := errors.Mark(errors.New("no gateway"), upstream.ErrNoPath)
+	for _, c := range []struct {
+		name    string
+		probe   error
+		outcome peerv1.ReleaseOutcome
+	}{
+		{"no gateway", noPath, outcomeCancelled},
+		{"no answer from a gateway", context.DeadlineExceeded, outcomeCancelled},
+		{"the target ended", errRefused, outcomeLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				var w *fixture
+				w = newFixture(t, 1, func(o *Options) {
+					o.Paths = &fixedPaths{isolated: true, reaches: true}
+					o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+						conn, err := w.net.dial(ctx, network, address)
+						if errors.Is(err, errRefused) {
+							err = c.probe
+						}
+						return conn, err
+					}
+				})
+				w.endingTarget(t, "ending")
+				is.Equal(w.do("GET", "/lookup/a", "").status, 200)
+				synctest.Wait()
+				w.checkReleased(is, c.outcome, outcomeOK)
+				is.True(!w.permits.released[0].TargetAlive)
+			})
+		})
+	}
 }
 
 // Guards against an innocent request that is taken for poison because a partition swallowed its connection.
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -32,8 +32,8 @@
 	idleMargin = time.Second
 	// dialTimeout limits how long opening a connection may take, directly and then through another host.
 	dialTimeout = 2500 * time.Millisecond
-	// acceptTimeout limits how long Accepts waits.
-	acceptTimeout = 200 * time.Millisecond
+	// probeTimeout limits how long Probe waits.
+	probeTimeout = 200 * time.Millisecond
 	// sweepInterval is the minimum time between two searches for expired idle connections.
 	sweepInterval = time.Second
 )
@@ -85,23 +85,23 @@
 	return resp, nil
 }
 
-// Accepts reports whether a target accepts a new connection, which is kept for the next request if it can be. A target that does not answer within
-// acceptTimeout does not.
-func (c *Client) Accepts(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+// Probe opens a connection to a target, which is kept for the next request if it can be. It returns the error of the DialFunc, or
+// context.DeadlineExceeded after probeTimeout.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	nc, err := c.dial(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
 	cn := newConn(nc, c, Options{Address: address})
 	if cn.dedicated {
 		cn.close()
-		return true
+		return nil
 	}
 	cn.reusableUntil = time.Now().Add(idleTimeout)
 	c.putIdle(cn)
-	return true
+	return nil
 }
 
 // CloseIdle closes the idle connections to a target, for example because another connection to it has failed.
--- a/pkg/permit/straggler.go
+++ b/pkg/permit/straggler.go
@@ -273,12 +273,12 @@
 }
 
 // canProbe reports whether a request may probe a target that is quarantined or down. Commands and hedged requests are not risked
-// at a slow target. Any request except a hedged one may probe a target that accepted no connections: it is not executed if the
-// connection fails again.
+// at a slow target. Any first attempt may probe a target that accepted no connections: it is not executed if the connection fails again,
+// and is retried. A retry must not, because it could use up the attempts of its request on one such target after another.
 func (d *dispatcher) canProbe(t *target, w *waiter, now time.Time) bool {
 	h := &t.health
 	if h.down {
-		return !h.probing && !now.Before(h.nextProbe) && !w.req.Hedge
+		return !h.probing && !now.Before(h.nextProbe) && !w.req.Hedge && w.req.Attempt == 0
 	}
 	return h.quarantined && !h.probing && !now.Before(h.nextProbe) && w.class == classShort && !w.req.Command && !w.req.Hedge
 }
--- a/pkg/permit/unreachable_test.go
+++ b/pkg/permit/unreachable_test.go
@@ -92,3 +92,44 @@
 		release(acquire(), ok)
 	})
 }
+
+// Guards against a request that uses up its attempts on probes of targets that are down, while another target serves.
+func TestRetryProbesNoUnreachableTarget(t *testing.T) {
+	five := permittest.Service{Name: "lookup", Domain: "d1", Targets: 5, Slots: 4}
+	run(t, 1, 3, permittest.Objects(five), func(d *domain, is *is.I) {
+		h := d.Hosts()[0]
+		down := map[string]bool{"lookup-0": true, "lookup-1": true, "lookup-2": true, "lookup-3": true}
+		// send returns the number of attempts that a request needs.
+		send := func() int {
+			req := d.request("lookup", time.Second)
+			for {
+				g, err := h.Acquire(context.Background(), req)
+				is.NoErr(err)
+				time.Sleep(2 * time.Millisecond)
+				req.Attempt++
+				if !down[g.Target] {
+					g.Release(permit.Observation{Outcome: ok, Total: 2 * time.Millisecond})
+					return req.Attempt
+				}
+				g.Release(permit.Observation{Outcome: unreachable})
+				req.ExcludeTargets = append(req.ExcludeTargets, g.Target)
+				req.ID += "+"
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		for range 400 { // finds the targets that are down, and earns budget for retries
+			g, err := h.Acquire(context.Background(), d.request("lookup", time.Second))
+			is.NoErr(err)
+			outcome := ok
+			if down[g.Target] {
+				outcome = unreachable
+			}
+			g.Release(permit.Observation{Outcome: outcome, Total: 2 * time.Millisecond})
+			time.Sleep(2 * time.Millisecond)
+		}
+		for range 5 {
+			time.Sleep(200 * time.Millisecond) // all probes are due
+			is.True(send() <= 2)
+		}
+	})
+}
