--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -2,32 +2,19 @@
 
 import (
 	"context"
-	"io"
-	"maps"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
-	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// maxDrainBytes and drainTimeout limit how much of a discarded response is read so that its connection can be reused, and for how
-// long the next attempt waits for that.
-const (
-	maxDrainBytes = 4 << 10
-	drainTimeout  = 50 * time.Millisecond
-)
-
 var (
 	errHedgeLost = errors.New("the other attempt of the hedged request answered first")
 	errStalled   = errors.New("no progress within the stall timeout")
@@ -158,181 +145,3 @@
 // mayHaveBeenSent reports whether the request may have been sent. It is true for a transport that does not support httptrace,
 // because nothing is known then.
 func (a *attempt) mayHaveBeenSent() bool { return a.connected.Load() || !a.connRequested.Load() }
-
-// send sends the request to the target of the attempt's permit. On success the attempt stays open and belongs to the answer;
-// on failure the attempt is finished.
-func (h *Handler) send(rq *request, a *attempt) (*answer, *failure) {
-	out, f := h.buildRequest(rq, a)
-	if f != nil {
-		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
-		return nil, f
-	}
-	resp, err := h.targets.RoundTrip(out, upstream.Options{
-		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(),
-		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(),
-		Matches:        func(resp *http.Response) bool { return h.matchesAttempt(a, resp) },
-	})
-	a.firstByte = time.Since(a.sent)
-	a.connRequested.Store(true)
-	a.connected.Store(!errors.Is(err, upstream.ErrNotSent))
-	if err != nil {
-		// The other idle connections to this target may be broken as well.
-		h.targets.CloseIdle(a.grant.Address)
-		return nil, h.sendFailed(rq, a, err)
-	}
-	return h.acceptResponse(rq, a, resp)
-}
-
-// buildRequest returns the request of an attempt, with the attempt's context and its metadata in the header.
-func (h *Handler) buildRequest(rq *request, a *attempt) (*http.Request, *failure) {
-	if f := contextFailure(rq); f != nil {
-		f.notSent = true
-		return nil, f
-	}
-	reader, ok := rq.body.reader()
-	if !ok {
-		return nil, &failure{
-			status: http.StatusBadGateway, reason: reply.ReasonTargetBroken, notSent: true, retryScope: retryNone,
-			err: errors.New("the body cannot be sent twice"),
-		}
-	}
-	deadline, _ := a.ctx.Deadline()
-	if rq.body.rest != nil {
-		rq.body.control.SetReadDeadline(deadline) // the permit may expire before the request's deadline
-	}
-	header := maps.Clone(rq.header) // a shallow copy is enough: value slices are replaced, never modified
-	if a.grant == nil {
-		dialect.Native{}.WriteRequest(header, dialect.AttemptInfo{ID: a.id, Remaining: time.Until(deadline)})
-	} else {
-		h.opts.Dialect.WriteRequest(header, dialect.AttemptInfo{ID: a.id, Remaining: time.Until(deadline), Instance: a.grant.Instance})
-	}
-	out := &http.Request{
-		Method: rq.in.Method, Host: rq.in.Host, Header: header, Body: reader, ContentLength: rq.body.length,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{
-			Scheme: "http", Path: rq.path, RawPath: rq.rawPath, RawQuery: rq.in.URL.RawQuery, ForceQuery: rq.in.URL.ForceQuery,
-		},
-	}
-	if a.grant != nil {
-		out.URL.Host = a.grant.Address
-		return out.WithContext(a.ctx), nil
-	}
-	return out.WithContext(a.tracedContext()), nil
-}
-
-// sendFailed finishes an attempt that got no response, and classifies err.
-func (h *Handler) sendFailed(rq *request, a *attempt, err error) *failure {
-	connected := a.mayHaveBeenSent()
-	a.silent = isSilence(err)
-	err = steperr.Wrap(err, "send request", a.grant.Target)
-	f := &failure{
-		status: http.StatusBadGateway, reason: reply.ReasonTargetBroken, retryAfter: time.Second,
-		mayHaveRun: connected, retryScope: retryTarget, err: err,
-	}
-	outcome := peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST
-	bodyFailure := rq.body.readFailure()
-	switch {
-	case bodyFailure != nil:
-		f = bodyFailure
-		f.mayHaveRun = connected
-		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CANCELLED
-	case errors.Is(context.Cause(a.ctx), errHedgeLost):
-		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CANCELLED
-	case a.ctx.Err() != nil:
-		f.status, f.reason, f.retryScope = http.StatusGatewayTimeout, reply.ReasonDeadline, retryNone
-		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR
-		if errors.Is(a.ctx.Err(), context.Canceled) {
-			f.status, f.reason = http.StatusServiceUnavailable, reply.ReasonCallerGone
-			outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CANCELLED
-		}
-	case errors.Is(err, upstream.ErrNoPath):
-		f = noPathFailure()
-		f.err = err
-		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT
-	case !connected:
-		f.status, f.reason, f.unreached = http.StatusServiceUnavailable, reply.ReasonTargetUnreachable, true
-		outcome = peerv1.ReleaseOutcome_RELEASE_OUTCOME_UNREACHABLE
-	}
-	a.finish(outcome)
-	f.targetEnded = a.targetEnded
-	return f
-}
-
-// matchesAttempt stores the metadata of a target's response in a.info and reports whether the response belongs to the attempt.
-// A response without a request ID is taken as a match, because targets need not repeat the ID.
-func (h *Handler) matchesAttempt(a *attempt, resp *http.Response) bool {
-	a.info, a.responded = h.opts.Dialect.ReadResponse(resp), true
-	return a.info.ID == "" || a.info.ID == a.targetRequestID
-}
-
-// acceptResponse checks a target's response header and returns the answer, or a failure with the attempt finished.
-func (h *Handler) acceptResponse(rq *request, a *attempt, resp *http.Response) (*answer, *failure) {
-	if !framed(resp) && !(h.opts.Dialect.AllowsCloseDelimited() && resp.StatusCode != http.StatusSwitchingProtocols) {
-		return nil, h.rejectResponse(a, resp, "the end of the response cannot be detected")
-	}
-	if a.info.NotRun {
-		return nil, h.notExecuted(a, resp)
-	}
-	if resp.StatusCode == http.StatusInternalServerError && h.retriesServerError(rq) {
-		return nil, h.serverError(a, resp)
-	}
-	return h.prefetch(rq, &answer{attempt: a, resp: resp})
-}
-
-// retriesServerError reports whether a request that a target answered with status 500 is retried at another target.
-func (h *Handler) retriesServerError(rq *request) bool {
-	return rq.rule != nil && !rq.command && rq.attempts < rq.maxAttempts() && rq.body.replayable()
-}
-
-// serverError finishes an attempt that the target executed and answered with status 500.
-func (h *Handler) serverError(a *attempt, resp *http.Response) *failure {
-	drainAndClose(resp)
-	a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
-	return &failure{
-		status: http.StatusBadGateway, reason: reply.ReasonTargetFailed, mayHaveRun: true, retryScope: retryTarget,
-		err: steperr.New("check response", a.grant.Target, "status %d", resp.StatusCode),
-	}
-}
-
-// notExecuted finishes an attempt whose response states that the target did not execute the request: the target shed load, or
-// the expected instance is no longer at its address.
-func (h *Handler) notExecuted(a *attempt, resp *http.Response) *failure {
-	f := &failure{
-		status: http.StatusServiceUnavailable, reason: reply.ReasonTargetShed, retryAfter: a.info.RetryAfter, retryScope: retryTarget,
-	}
-	outcome := peerv1.ReleaseOutcome_RELEASE_OUTCOME_SHED
-	if a.info.InstanceGone {
-		f.reason, outcome = reply.ReasonTargetUnreachable, peerv1.ReleaseOutcome_RELEASE_OUTCOME_UNREACHABLE
-	}
-	drainAndClose(resp)
-	a.finish(outcome)
-	return f
-}
-
-// drainAndClose discards a response. It reads a short body to its end so that the connection can be reused.
-func drainAndClose(resp *http.Response) {
-	timeout := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
-	defer timeout.Stop()
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
-	_ = resp.Body.Close()
-}
-
-// rejectResponse finishes an attempt whose response must not reach the caller, and closes its connection.
-func (h *Handler) rejectResponse(a *attempt, resp *http.Response, why string) *failure {
-	a.cancel(nil)
-	resp.Body.Close()
-	a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
-	return &failure{
-		status: http.StatusBadGateway, reason: reply.ReasonTargetBroken, mayHaveRun: true, retryScope: retryTarget,
-		err: steperr.New("check response", a.grant.Target, "%s", why),
-	}
-}
-
-// framed reports whether the truncation of a response can be detected: it has no body, a length or a transfer encoding.
-// A close-delimited body gives no sign of truncation, and a connection that switches protocols has no end of the body at all.
-func framed(resp *http.Response) bool {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return false
-	}
-	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
