--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STATICCHECK = $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.7.0
 PROTO = $(shell find proto -name '*.proto')
 
-.PHONY: build test soak lint generate demo bench capacity
+.PHONY: build test soak upgrade lint generate demo bench capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -26,6 +26,14 @@
 	for n in $$(seq 0 $$(($(SOAK_SERIES) - 1))); do RATTANHITCH_SOAK_SEED=$$(($(SOAK_SEED) + n)) \
 	  $(GO) test -count=1 -v -run TestPlannedWorkCutsNobodyOff ./pkg/daemon || exit 1; done
 
+# A rolling upgrade from the commit PREVIOUS: every host starts with its daemon, and with the present one after its first planned stop.
+upgrade:
+	rm -rf bin/previous && mkdir -p bin/previous
+	git archive $(PREVIOUS) | tar -x -C bin/previous
+	cd bin/previous && $(GO) build -o rattanhitchd ./cmd/rattanhitchd
+	RATTANHITCH_SOAK_PREVIOUS=$(CURDIR)/bin/previous/rattanhitchd RATTANHITCH_SOAK_SEED=$(SOAK_SEED) \
+	  $(GO) test -count=1 -v -run TestPlannedWorkCutsNobodyOff ./pkg/daemon
+
 lint:
 	@test -z "$$(gofmt -l cmd pkg internal bench demo platform)" || { gofmt -l cmd pkg internal bench demo platform; exit 1; }
 	$(GO) vet ./...
--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -30,6 +30,9 @@
 
 	mu      sync.Mutex
 	running map[string]*exec.Cmd
+	// previous is the path of the daemon of another version, with which each host starts for the first time; empty for none.
+	previous string
+	started  map[string]bool
 	hosts   []processHost
 	targets []string
 }
@@ -43,7 +46,7 @@
 
 func newProcessFleet(t *testing.T) *processFleet {
 	t.Helper()
-	p := &processFleet{t: t, bin: t.TempDir(), running: map[string]*exec.Cmd{}}
+	p := &processFleet{t: t, bin: t.TempDir(), running: map[string]*exec.Cmd{}, started: map[string]bool{}, previous: os.Getenv("RATTANHITCH_SOAK_PREVIOUS")}
 	// The second byte differs from that of fleet.ip, so that both kinds of fleet can run at the same time.
 	p.network = fmt.Sprintf("127.%d.%d.", 128+os.Getpid()>>8&0x3f, os.Getpid()&0xff)
 	build := exec.Command("go", "build", "-o", p.bin, "../../cmd/rattanhitchd", "../../cmd/rattanhitch-standin")
@@ -51,13 +54,16 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	t.Cleanup(p.stopAll)
-	p.start("platform", "rattanhitch-standin", "platform", "--listen", p.network+"1:8080")
+	p.start("platform", p.standin(), "platform", "--listen", p.network+"1:8080")
 	return p
 }
 
-func (p *processFleet) start(name, program string, args ...string) {
+func (p *processFleet) standin() string { return filepath.Join(p.bin, "rattanhitch-standin") }
+
+// start starts the program at a path.
+func (p *processFleet) start(name, path string, args ...string) {
 	p.t.Helper()
-	cmd := exec.Command(filepath.Join(p.bin, program), args...)
+	cmd := exec.Command(path, args...)
 	output := &lockedBuffer{}
 	cmd.Stderr, cmd.Stdout = output, output
 	if err := cmd.Start(); err != nil {
@@ -97,11 +103,22 @@
 }
 
 func (p *processFleet) startHost(h processHost) {
-	p.start(h.name, "rattanhitchd", "--host", h.name, "--failure-domain", h.domain, "--region", h.region,
+	p.start(h.name, p.daemonOf(h), "--host", h.name, "--failure-domain", h.domain, "--region", h.region,
 		"--caller-listen", h.ip+":8080", "--operator-listen", h.ip+":8081", "--peer-listen", h.ip+":8082",
 		"--platform-url", "http://"+p.network+"1:8080", "--announce-for", "1s", "--log-level", "warn")
 }
 
+// daemonOf returns the program to start a host with: the previous version for its first start, if there is one.
+func (p *processFleet) daemonOf(h processHost) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.previous != "" && !p.started[h.name] {
+		p.started[h.name] = true
+		return p.previous
+	}
+	return filepath.Join(p.bin, "rattanhitchd")
+}
+
 func (p *processFleet) signal(name string, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,7 +159,7 @@
 func (p *processFleet) startTarget(index int, service, domain string, slots int) *configv1.Object {
 	address := fmt.Sprintf("%s%d:9000", p.network, 100+index)
 	name := fmt.Sprintf("t%d", index)
-	p.start(name, "rattanhitch-standin", "target", "--name", name, "--listen", address, "--slots", fmt.Sprint(slots))
+	p.start(name, p.standin(), "target", "--name", name, "--listen", address, "--slots", fmt.Sprint(slots))
 	p.targets = append(p.targets, address)
 	return &configv1.Object{Kind: &configv1.Object_Target{Target: &configv1.Target{
 		Name: name, Service: service, FailureDomain: domain, Address: address, Slots: uint32(slots), MaxConnections: 800,
