Simplify the state of isolation checks

The check in progress is a channel, and the connections of other hosts are counted in an atomic integer; both had types of their own. The detection of isolation ends also when a drain fails.

--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -33,8 +33,8 @@
 	// previous is the path of the daemon of another version, with which each host starts for the first time; empty for none.
 	previous string
 	started  map[string]bool
-	hosts   []processHost
-	targets []string
+	hosts    []processHost
+	targets  []string
 }
 
 type processHost struct {
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -207,6 +207,7 @@
 		return m.closeListener()
 	}
 	m.cancel()
+	defer m.tunnels.Close()
 	m.Entry.SetLeaving(true)
 	m.announce(ctx)
 	// A separate deadline for the drain leaves time for the cleanup of the other modules if requests do not end.
@@ -222,7 +223,6 @@
 		return steperr.New("drain", "", "%d requests were still in flight at the end of the drain", n)
 	}
 	m.Entry.Close()
-	m.tunnels.Close()
 	return steperr.Wrap(err, "drain", "")
 }
 
--- a/pkg/tunnel/isolation.go
+++ b/pkg/tunnel/isolation.go
@@ -44,15 +44,12 @@
 	tasks  conc.WaitGroup
 
 	mu sync.Mutex
-	// running is the check in progress, or nil. lastCheck is when the last one ended.
-	running   *check
+	// checking is closed when the check in progress ends; nil if there is none. lastCheck is when the last one ended.
+	checking  chan struct{}
 	lastCheck time.Time
 	closed    bool
 }
 
-// check is a check in progress, whose result all callers share.
-type check struct{ done chan struct{} }
-
 func newIsolation(opts Options, m metrics) *isolation {
 	i := &isolation{dial: opts.Dial, targets: opts.Targets, place: opts.Place, setIsolated: opts.SetIsolated, metrics: m}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
@@ -68,49 +65,47 @@
 }
 
 // check reports whether this host is isolated, after a target accepted no connection. It probes other targets unless that has just been
-// done. The end of ctx ends only the wait for the result.
+// done; concurrent calls share the probes. The end of ctx ends only the wait for the result.
 func (i *isolation) check(ctx context.Context, failed string) bool {
-	c := i.startCheck(failed)
-	if c == nil {
-		return i.active.Load()
-	}
-	select {
-	case <-c.done:
-	case <-ctx.Done():
+	if done := i.startCheck(failed); done != nil {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	return i.active.Load()
 }
 
-// startCheck returns the check in progress, or a new one. It returns nil if the result of the last check is still valid.
-func (i *isolation) startCheck(failed string) *check {
+// startCheck starts a check unless there is one in progress, and returns the channel that is closed at its end. It returns nil if the
+// result of the last check is still valid.
+func (i *isolation) startCheck(failed string) <-chan struct{} {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.running != nil {
-		return i.running
+	if i.checking != nil {
+		return i.checking
 	}
 	if i.closed || i.active.Load() || time.Since(i.lastCheck) < checkValid {
 		return nil
 	}
-	c := &check{done: make(chan struct{})}
-	i.running = c
-	i.tasks.Go(func() { i.run(c, failed) })
-	return c
+	i.checking = make(chan struct{})
+	i.tasks.Go(func() { i.probeOthers(failed) })
+	return i.checking
 }
 
-// run probes other targets than the failed one. Without any, nothing can be concluded.
-func (i *isolation) run(c *check, failed string) {
+// probeOthers probes other targets than the failed one. Without any, nothing can be concluded.
+func (i *isolation) probeOthers(failed string) {
 	controls := i.controls(failed)
 	isolated := len(controls) > 0 && !i.anyAccepts(controls) && i.ctx.Err() == nil
 	if isolated {
 		i.set(true)
 	}
 	i.mu.Lock()
-	i.running, i.lastCheck = nil, time.Now()
+	defer i.mu.Unlock()
+	close(i.checking)
+	i.checking, i.lastCheck = nil, time.Now()
 	if isolated && !i.closed {
 		i.tasks.Go(i.watch)
 	}
-	i.mu.Unlock()
-	close(c.done)
 }
 
 // watch probes targets until this host reaches them again.
--- a/pkg/tunnel/metrics.go
+++ b/pkg/tunnel/metrics.go
@@ -1,10 +1,6 @@
 package tunnel
 
-import (
-	"sync/atomic"
-
-	"github.com/uber-go/tally/v4"
-)
+import "github.com/uber-go/tally/v4"
 
 type metrics struct {
 	// opened and failed count the connections of this host through gateways, served those that it opened for other hosts.
@@ -25,9 +21,3 @@
 	}
 	m.isolated.Update(value)
 }
-
-// counter counts the connections that are open now.
-type counter struct{ n atomic.Int64 }
-
-func (c *counter) enter() { c.n.Add(1) }
-func (c *counter) leave() { c.n.Add(-1) }
--- a/pkg/tunnel/serve.go
+++ b/pkg/tunnel/serve.go
@@ -15,7 +15,7 @@
 const copyBufferBytes = 16 << 10
 
 // Serving returns the number of connections that are open for other hosts.
-func (d *Dialer) Serving() int { return int(d.serving.n.Load()) }
+func (d *Dialer) Serving() int { return int(d.serving.Load()) }
 
 // Handler returns a handler for requests from other hosts. It serves tunnels, and passes all other requests to next.
 func (d *Dialer) Handler(next http.Handler) http.Handler {
@@ -31,8 +31,8 @@
 // serve opens a connection to a target and copies its bytes. It answers with status 404 for an address that is no target's, 503 if this
 // host is isolated itself, and 502 if only this target accepts no connection.
 func (d *Dialer) serve(w http.ResponseWriter, r *http.Request, address string) {
-	d.serving.enter()
-	defer d.serving.leave()
+	d.serving.Add(1)
+	defer d.serving.Add(-1)
 	// Without full duplex, net/http would wait for the end of the request before it sends a response.
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +57,8 @@
 	opts      Options
 	isolation *isolation
 	metrics   metrics
-	serving   counter
+	// serving is the number of connections that are open for other hosts.
+	serving atomic.Int64
 }
 
 // New returns a Dialer. Call Close when no more connections are opened.
