--- a/pkg/daemon/poison_restart_test.go
+++ b/pkg/daemon/poison_restart_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanhitch/rattanhitch/internal/sleep"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
@@ -36,21 +37,24 @@
 }
 
 // keepTarget starts a target again whenever its process ends, until ctx ends.
-func (s *poisonRestart) keepTarget(ctx context.Context, index int, domain string) {
-	name := fmt.Sprintf("t%d", index)
-	for ctx.Err() == nil {
+func (s *poisonRestart) keepTarget(ctx context.Context, index int) {
+	name, _ := s.p.targetName(index)
+	for {
 		s.p.mu.Lock()
-		cmd := s.p.running[name]
+		running := s.p.running[name]
 		s.p.mu.Unlock()
-		_ = cmd.Wait()
-		if ctx.Err() != nil {
+		select {
+		case <-running.done:
+		case <-ctx.Done():
 			return
 		}
 		s.mu.Lock()
 		s.crashes = append(s.crashes, time.Now())
 		s.mu.Unlock()
-		time.Sleep(targetReturn)
-		s.p.startTarget(index, "tides", domain, 4)
+		if !sleep.For(ctx, targetReturn) {
+			return
+		}
+		s.p.runTarget(index, 4)
 	}
 }
 
@@ -117,10 +121,11 @@
 	s := &poisonRestart{p: p, killAll: killAll}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	var keepers sync.WaitGroup
 	for i := range 2 * poisonRestartTargets {
 		domain := fmt.Sprintf("d%d", 1+i/poisonRestartTargets)
 		objects = append(objects, p.startTarget(i+1, "tides", domain, 4))
-		go s.keepTarget(ctx, i+1, domain)
+		keepers.Go(func() { s.keepTarget(ctx, i+1) })
 	}
 	p.apply(objects...)
 	p.waitFor("service", func() bool { return p.allRespond(p.callerURLs("/tides/x")) })
@@ -133,6 +138,7 @@
 	tasks.Go(func() { s.killHosts(loadCtx, rand.New(rand.NewPCG(seed, 9))) })
 	tasks.Wait()
 	cancel()
+	keepers.Wait()
 	s.mu.Lock()
 	var offsets []string
 	for _, at := range s.crashes {
--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -29,7 +29,7 @@
 	network string
 
 	mu      sync.Mutex
-	running map[string]*exec.Cmd
+	running map[string]*process
 	// previous is the path of the daemon of another version, with which each host starts for the first time; empty for none.
 	previous string
 	started  map[string]bool
@@ -37,6 +37,13 @@
 	targets  []string
 }
 
+// process is a running program. done is closed when it has exited, and err is the result then.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
 type processHost struct {
 	name, domain, region, ip string
 }
@@ -47,7 +54,7 @@
 func newProcessFleet(t *testing.T) *processFleet {
 	t.Helper()
 	p := &processFleet{
-		t: t, bin: t.TempDir(), running: map[string]*exec.Cmd{},
+		t: t, bin: t.TempDir(), running: map[string]*process{},
 		previous: os.Getenv("RATTANHITCH_SOAK_PREVIOUS"), started: map[string]bool{},
 	}
 	// The second byte differs from that of fleet.ip, so that both kinds of fleet can run at the same time.
@@ -70,10 +77,16 @@
 	output := &lockedBuffer{}
 	cmd.Stderr, cmd.Stdout = output, output
 	if err := cmd.Start(); err != nil {
-		p.t.Fatal(err)
+		p.t.Error(err)
+		return
 	}
+	started := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		started.err = cmd.Wait()
+		close(started.done)
+	}()
 	p.mu.Lock()
-	p.running[name] = cmd
+	p.running[name] = started
 	p.mu.Unlock()
 	p.t.Cleanup(func() {
 		if p.t.Failed() {
@@ -125,17 +138,18 @@
 func (p *processFleet) signal(name string, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.running[name].Process.Signal(s)
+	_ = p.running[name].cmd.Process.Signal(s)
 }
 
 // terminate sends a process a signal that ends it, and waits until it has exited.
 func (p *processFleet) terminate(name string, s syscall.Signal) error {
 	p.signal(name, s)
 	p.mu.Lock()
-	cmd := p.running[name]
+	stopped := p.running[name]
 	delete(p.running, name)
 	p.mu.Unlock()
-	return cmd.Wait()
+	<-stopped.done
+	return stopped.err
 }
 
 // kill ends a process with SIGKILL, without a graceful stop.
@@ -160,9 +174,8 @@
 }
 
 func (p *processFleet) startTarget(index int, service, domain string, slots int) *configv1.Object {
-	address := fmt.Sprintf("%s%d:9000", p.network, 100+index)
-	name := fmt.Sprintf("t%d", index)
-	p.start(name, p.standin(), "target", "--name", name, "--listen", address, "--slots", fmt.Sprint(slots))
+	name, address := p.targetName(index)
+	p.runTarget(index, slots)
 	p.targets = append(p.targets, address)
 	return &configv1.Object{Kind: &configv1.Object_Target{Target: &configv1.Target{
 		Name: name, Service: service, FailureDomain: domain, Address: address, Slots: uint32(slots), MaxConnections: 800,
@@ -170,6 +183,16 @@
 	}}}
 }
 
+// runTarget starts the process of a target, also again.
+func (p *processFleet) runTarget(index, slots int) {
+	name, address := p.targetName(index)
+	p.start(name, p.standin(), "target", "--name", name, "--listen", address, "--slots", fmt.Sprint(slots))
+}
+
+func (p *processFleet) targetName(index int) (name, address string) {
+	return fmt.Sprintf("t%d", index), fmt.Sprintf("%s%d:9000", p.network, 100+index)
+}
+
 // apply creates objects through the operators' interface.
 func (p *processFleet) apply(objects ...*configv1.Object) {
 	p.t.Helper()
