Call what the project has instead of writing it again

- peer.Address has a name for errors; it is exported, and the two places that chose between host and address themselves call it.
- Member.IsUsable (alive, and reaches targets) replaces the same condition in the lookup, the steerer and the tunnels.
- The isolation keeps the options of its Dialer instead of copies of four of them, and the end of its context instead of a flag beside it.
- A tunnel that is opened too late ends with the error of its context.
It was reported as refused by the gateway with status 200.
- The tests of fleets share waitReads and addHosts.

--- a/pkg/daemon/cut_soak_test.go
+++ b/pkg/daemon/cut_soak_test.go
@@ -64,9 +64,7 @@
 		}
 	}
 	s.commit("h1", objects...)
-	for name := range s.apps {
-		s.waitFor("a read through "+name, func() bool { return s.request(name, http.MethodGet, "/tides/x").status == http.StatusOK })
-	}
+	s.waitReads()
 	return s
 }
 
--- a/pkg/daemon/cut_test.go
+++ b/pkg/daemon/cut_test.go
@@ -48,9 +48,7 @@
 	f.waitMembers()
 	objects := append(f.startTargets("d1"), f.startTargets("d2")...)
 	f.commit("h1", append(objects, place("d1", "r1"), place("d2", "r2"), service("tides"))...)
-	for name := range f.hosts {
-		f.waitFor("a read through "+name, func() bool { return f.request(name, http.MethodGet, "/tides/x").status == http.StatusOK })
-	}
+	f.waitReads()
 	return f
 }
 
--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -215,6 +215,20 @@
 	})
 }
 
+// waitReads waits until a read of the service tides succeeds through each host.
+func (f *fleet) waitReads() {
+	f.t.Helper()
+	for name := range f.hosts {
+		f.waitRead(name)
+	}
+}
+
+// waitRead waits until a read of the service tides succeeds through a host.
+func (f *fleet) waitRead(host string) {
+	f.t.Helper()
+	f.waitFor("a read through "+host, func() bool { return f.request(host, http.MethodGet, "/tides/x").status == http.StatusOK })
+}
+
 // waitFor polls ready until it returns true, and fails the test after waitLimit.
 func (f *fleet) waitFor(what string, ready func() bool) {
 	f.t.Helper()
--- a/pkg/daemon/planned_test.go
+++ b/pkg/daemon/planned_test.go
@@ -261,12 +261,8 @@
 func TestPlannedWorkCutsNobodyOff(t *testing.T) {
 	is := is.New(t)
 	p := newProcessFleet(t)
-	for i, h := range []processHost{{domain: "d1", region: "r1"}, {domain: "d1", region: "r1"}, {domain: "d1", region: "r1"}, {domain: "d2", region: "r2"}} {
-		h.name, h.ip = fmt.Sprintf("h%d", i+1), fmt.Sprintf("%s%d", p.network, 10+i)
-		p.hosts = append(p.hosts, h)
-		p.startHost(h)
-	}
-	p.waitFor("hosts", func() bool { return p.allRespond(p.operatorURLs("/readyz")) })
+	d1, d2 := processHost{domain: "d1", region: "r1"}, processHost{domain: "d2", region: "r2"}
+	p.addHosts(d1, d1, d1, d2)
 	link := func(from, to string) *configv1.Object {
 		return &configv1.Object{Kind: &configv1.Object_Link{Link: &configv1.Link{
 			Name: from + "-" + to, FromRegion: from, ToRegion: to, MbitPerSecond: 4000,
--- a/pkg/daemon/poison_restart_test.go
+++ b/pkg/daemon/poison_restart_test.go
@@ -111,13 +111,8 @@
 	t.Logf("seed %d", seed)
 	p := newProcessFleet(t)
 	objects := []*configv1.Object{place("d1", "r1"), place("d2", "r2"), service("tides")}
-	for i := range 6 {
-		h := processHost{name: fmt.Sprintf("h%d", i+1), ip: fmt.Sprintf("%s%d", p.network, 10+i)}
-		h.domain, h.region = fmt.Sprintf("d%d", 1+i/3), fmt.Sprintf("r%d", 1+i/3)
-		p.hosts = append(p.hosts, h)
-		p.startHost(h)
-	}
-	p.waitFor("hosts", func() bool { return p.allRespond(p.operatorURLs("/readyz")) })
+	d1, d2 := processHost{domain: "d1", region: "r1"}, processHost{domain: "d2", region: "r2"}
+	p.addHosts(d1, d1, d1, d2, d2, d2)
 	s := &poisonRestart{p: p, killAll: killAll}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/pkg/daemon/poison_test.go
+++ b/pkg/daemon/poison_test.go
@@ -44,9 +44,7 @@
 	}
 	f.waitMembers()
 	f.commit("h1", objects...)
-	for name := range f.hosts {
-		f.waitFor("a read through "+name, func() bool { return f.request(name, http.MethodGet, "/tides/x").status == http.StatusOK })
-	}
+	f.waitReads()
 	return f
 }
 
@@ -88,7 +86,7 @@
 		is.NoErr(f.stopHost(name))
 		f.startHost(name, app.Settings.FailureDomain, app.Settings.Region)
 		f.waitMembers()
-		f.waitFor("a read through "+name, func() bool { return f.request(name, http.MethodGet, "/tides/x").status == http.StatusOK })
+		f.waitRead(name)
 		f.repeatPoison(name, poisonDuration/4)
 	}
 	t.Logf("%d targets ended before the restarts, %d after them", before, f.ended.Load())
--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -135,6 +135,17 @@
 	return filepath.Join(p.bin, "rattanhitchd")
 }
 
+// addHosts starts hosts, which get their names and addresses here, and waits until they are ready.
+func (p *processFleet) addHosts(hosts ...processHost) {
+	p.t.Helper()
+	for i, h := range hosts {
+		h.name, h.ip = fmt.Sprintf("h%d", i+1), fmt.Sprintf("%s%d", p.network, 10+i)
+		p.hosts = append(p.hosts, h)
+		p.startHost(h)
+	}
+	p.waitFor("hosts", func() bool { return p.allRespond(p.operatorURLs("/readyz")) })
+}
+
 func (p *processFleet) signal(name string, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/daemon/process_test.go
+++ b/pkg/daemon/process_test.go
@@ -115,12 +115,8 @@
 func TestProcessesUnderFaults(t *testing.T) {
 	is := is.New(t)
 	p := newProcessFleet(t)
-	for i, d := range []string{"d1", "d1", "d1", "d2", "d2"} {
-		h := processHost{fmt.Sprintf("h%d", i+1), d, "r1", fmt.Sprintf("%s%d", p.network, 10+i)}
-		p.hosts = append(p.hosts, h)
-		p.startHost(h)
-	}
-	p.waitFor("hosts", func() bool { return p.allRespond(p.operatorURLs("/readyz")) })
+	d1, d2 := processHost{domain: "d1", region: "r1"}, processHost{domain: "d2", region: "r1"}
+	p.addHosts(d1, d1, d1, d2, d2)
 	p.apply(place("d1", "r1"), place("d2", "r1"), service("tides"),
 		p.startTarget(1, "tides", "d1", 4), p.startTarget(2, "tides", "d1", 4), p.startTarget(3, "tides", "d2", 4))
 	p.waitFor("service", func() bool { return p.allRespond(p.callerURLs("/tides/x")) })
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -102,9 +102,7 @@
 	if first := rq.in.Header.Get(reply.HeaderFirstSend); first != "" && m == modeRelay {
 		out.Header.Set(reply.HeaderFirstSend, first)
 	}
-	if out.URL.Host = to.Host; out.URL.Host == "" {
-		out.URL.Host = to.Addr
-	}
+	out.URL.Host = to.Name()
 	resp, err := h.opts.Forwarder.Transport(to, class).RoundTrip(out)
 	a.firstByte = time.Since(a.sent)
 	if err != nil {
--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -17,11 +17,10 @@
 // enough, it considers all alive and suspect hosts; leaving and dead ones are never returned. The order is random, weighted by the
 // processor time (Capacity) of the hosts, so that larger hosts get more callers.
 func Nearest(members []membership.Member, place, region string, limit int) []membership.Member {
-	usable := func(m membership.Member) bool { return m.State == membership.StateAlive && !m.TargetsUnreachable }
 	filters := []func(m membership.Member) bool{
-		func(m membership.Member) bool { return usable(m) && m.Place == place },
-		func(m membership.Member) bool { return usable(m) && m.Region == region },
-		usable,
+		func(m membership.Member) bool { return m.IsUsable() && m.Place == place },
+		func(m membership.Member) bool { return m.IsUsable() && m.Region == region },
+		membership.Member.IsUsable,
 		func(m membership.Member) bool {
 			return m.State == membership.StateAlive || m.State == membership.StateSuspect
 		},
--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -30,20 +30,20 @@
 	step := "call " + method
 	payload, err := proto.Marshal(req)
 	if err != nil {
-		return steperr.Wrap(err, step, to.name())
+		return steperr.Wrap(err, step, to.Name())
 	}
 	if len(payload) > maxMessage {
-		err := steperr.New(step, to.name(), "request of %d bytes is above the limit of %d", len(payload), maxMessage)
+		err := steperr.New(step, to.Name(), "request of %d bytes is above the limit of %d", len(payload), maxMessage)
 		return errors.Mark(errors.Mark(err, ErrTooLarge), ErrNotWritten)
 	}
 	answer, err := n.exchange(ctx, to, method, payload)
 	if err != nil {
-		return steperr.Wrap(err, step, to.name())
+		return steperr.Wrap(err, step, to.Name())
 	}
 	if answer.GetError() != "" {
-		return errors.Mark(steperr.New(step, to.name(), "%s", answer.GetError()), ErrRemote)
+		return errors.Mark(steperr.New(step, to.Name(), "%s", answer.GetError()), ErrRemote)
 	}
-	return steperr.Wrap(proto.Unmarshal(answer.GetPayload(), resp), step, to.name())
+	return steperr.Wrap(proto.Unmarshal(answer.GetPayload(), resp), step, to.Name())
 }
 
 // exchange sends a request and returns the answer. It retries once, and only if the session existed before the call and
--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -45,7 +45,7 @@
 		}
 		stream, err := s.openStream()
 		if err != nil {
-			return nil, errors.Mark(steperr.Wrap(err, "open stream", to.name()), ErrNotWritten)
+			return nil, errors.Mark(steperr.Wrap(err, "open stream", to.Name()), ErrNotWritten)
 		}
 		return stream, nil
 	}
@@ -57,7 +57,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *forwardTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.http.RoundTrip(r)
-	return resp, steperr.Wrap(err, "forward", t.to.name())
+	return resp, steperr.Wrap(err, "forward", t.to.Name())
 }
 
 // RoundTripTime returns the round-trip time of the last ping on the short session to a host; 0 if there is none.
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -42,7 +42,7 @@
 	select {
 	case <-attempt.done:
 	case <-ctx.Done():
-		return nil, false, errors.Mark(steperr.Wrap(context.Cause(ctx), "open session", to.name()), ErrNotWritten)
+		return nil, false, errors.Mark(steperr.Wrap(context.Cause(ctx), "open session", to.Name()), ErrNotWritten)
 	}
 	if attempt.err != nil {
 		return nil, false, errors.Mark(attempt.err, ErrNotWritten)
@@ -94,43 +94,35 @@
 // checkIdentity returns an error marked ErrWrongPeer if the peer is not the expected host or incarnation.
 func checkIdentity(remote Identity, to Address) error {
 	if to.Host != "" && to.Host != remote.Host {
-		err := steperr.New("check peer", to.name(), "the peer at %s is host %s, expected %s", to.Addr, remote.Host, to.Host)
+		err := steperr.New("check peer", to.Name(), "the peer at %s is host %s, expected %s", to.Addr, remote.Host, to.Host)
 		return errors.Mark(errors.Mark(err, ErrWrongPeer), ErrNotWritten)
 	}
 	if to.Incarnation != 0 && to.Incarnation != remote.Incarnation {
-		err := steperr.New("check peer", to.name(), "the peer at %s is incarnation %d, expected %d", to.Addr,
+		err := steperr.New("check peer", to.Name(), "the peer at %s is incarnation %d, expected %d", to.Addr,
 			remote.Incarnation, to.Incarnation)
 		return errors.Mark(errors.Mark(err, ErrWrongPeer), ErrNotWritten)
 	}
 	return nil
 }
 
-// name returns the host, or the address if the host is unknown, for use in errors.
-func (a Address) name() string {
-	if a.Host != "" {
-		return a.Host
-	}
-	return a.Addr
-}
-
 // openSession dials, exchanges Hello messages and starts yamux.
 func (n *Node) openSession(ctx context.Context, to Address, class SessionClass) (*session, error) {
 	n.metrics.dials.Inc(1)
 	conn, err := n.opts.Dial(ctx, to.Addr)
 	if err != nil {
 		n.metrics.dialErrors.Inc(1)
-		return nil, steperr.Wrap(err, "dial "+to.Addr, to.name())
+		return nil, steperr.Wrap(err, "dial "+to.Addr, to.Name())
 	}
 	secured, remote, err := n.clientHandshake(ctx, conn, to, class)
 	if err != nil {
 		n.metrics.handshakeErrors.Inc(1)
 		_ = conn.Close()
-		return nil, steperr.Wrap(err, "handshake with "+to.Addr, to.name())
+		return nil, steperr.Wrap(err, "handshake with "+to.Addr, to.Name())
 	}
 	s, err := newSession(secured, remote, class, true)
 	if err != nil {
 		_ = conn.Close()
-		return nil, steperr.Wrap(err, "start session", to.name())
+		return nil, steperr.Wrap(err, "start session", to.Name())
 	}
 	if !n.track(s) {
 		s.fail(ErrClosed)
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 
@@ -26,6 +27,9 @@
 	Incarnation uint64
 }
 
+// Name returns the name of the host, or its address if only that is known.
+func (a Address) Name() string { return cmp.Or(a.Host, a.Addr) }
+
 // SessionClass is the kind of traffic on a session.
 type SessionClass string
 
--- a/pkg/steering/steerer.go
+++ b/pkg/steering/steerer.go
@@ -82,11 +82,10 @@
 func preferUsable(members []membership.Member) []membership.Member {
 	var alive, usable []membership.Member
 	for _, m := range members {
-		if m.State != membership.StateAlive {
-			continue
+		if m.State == membership.StateAlive {
+			alive = append(alive, m)
 		}
-		alive = append(alive, m)
-		if !m.TargetsUnreachable {
+		if m.IsUsable() {
 			usable = append(usable, m)
 		}
 	}
--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -56,26 +56,30 @@
 		cancel()
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK || !keep() {
+	err = refusalError(resp.StatusCode)
+	if err == nil && !keep() {
+		err = context.Cause(openCtx)
+	}
+	if err != nil {
 		cancel()
 		_ = resp.Body.Close()
-		return nil, refusalError(resp.StatusCode)
+		return nil, err
 	}
 	return &conn{response: resp.Body, request: request, cancel: cancel, remote: remote}, nil
 }
 
 func newTunnelRequest(ctx context.Context, gateway peer.Address, address string, body io.Reader) *http.Request {
-	host := gateway.Host
-	if host == "" {
-		host = gateway.Addr
-	}
-	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/", body)
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway.Name()+"/", body)
 	r.Header.Set(HeaderTarget, address)
 	return r
 }
 
+// refusalError returns the error of a gateway's answer, or nil if the gateway has opened the connection.
 func refusalError(status int) error {
-	if status == http.StatusBadGateway {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusBadGateway:
 		return errTargetUnreachable
 	}
 	return errors.Wrapf(errGatewayRefused, "status %d", status)
--- a/pkg/tunnel/isolation.go
+++ b/pkg/tunnel/isolation.go
@@ -12,7 +12,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 )
 
 const (
@@ -31,11 +30,8 @@
 // isolation detects whether this host reaches no target. One target that accepts no connection may be down. If none of several others
 // accepts one either, this host's own links are the likelier cause.
 type isolation struct {
-	dial        upstream.DialFunc
-	targets     func() []Target
-	place       string
-	setIsolated func(bool)
-	metrics     metrics
+	opts    Options
+	metrics metrics
 	// active is set while this host is isolated.
 	active atomic.Bool
 
@@ -47,20 +43,18 @@
 	// checking is closed when the check in progress ends; nil if there is none. lastCheck is when the last one ended.
 	checking  chan struct{}
 	lastCheck time.Time
-	closed    bool
 }
 
 func newIsolation(opts Options, m metrics) *isolation {
-	i := &isolation{dial: opts.Dial, targets: opts.Targets, place: opts.Place, setIsolated: opts.SetIsolated, metrics: m}
+	i := &isolation{opts: opts, metrics: m}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
 
 func (i *isolation) close() {
 	i.mu.Lock()
-	i.closed = true
+	i.cancel() // no task starts after this
 	i.mu.Unlock()
-	i.cancel()
 	i.tasks.Wait()
 }
 
@@ -84,7 +78,7 @@
 	if i.checking != nil {
 		return i.checking
 	}
-	if i.closed || i.active.Load() || time.Since(i.lastCheck) < checkValid {
+	if i.ctx.Err() != nil || i.active.Load() || time.Since(i.lastCheck) < checkValid {
 		return nil
 	}
 	i.checking = make(chan struct{})
@@ -103,7 +97,7 @@
 	defer i.mu.Unlock()
 	close(i.checking)
 	i.checking, i.lastCheck = nil, time.Now()
-	if isolated && !i.closed {
+	if isolated && i.ctx.Err() == nil {
 		i.tasks.Go(i.watch)
 	}
 }
@@ -114,7 +108,7 @@
 		if !sleep.For(i.ctx, watchInterval) {
 			return
 		}
-		targets := i.targets()
+		targets := i.opts.Targets()
 		if len(targets) == 0 || i.anyAccepts(targets[rand.IntN(len(targets)):][:1]) {
 			successes++
 		} else {
@@ -128,15 +122,15 @@
 	i.active.Store(isolated)
 	i.metrics.setIsolated(isolated)
 	log.Warn().Str("step", "tunnel").Bool("isolated", isolated).Msg("reachability of all targets from this host changed")
-	i.setIsolated(isolated)
+	i.opts.SetIsolated(isolated)
 }
 
 // controls returns up to controlTargets random targets other than the failed one. One of them is in this host's failure domain, if it
 // has any: a partition between failure domains is no isolation.
 func (i *isolation) controls(failed string) []Target {
-	list := slices.DeleteFunc(slices.Clone(i.targets()), func(t Target) bool { return t.Address == failed })
+	list := slices.DeleteFunc(slices.Clone(i.opts.Targets()), func(t Target) bool { return t.Address == failed })
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	if near := slices.IndexFunc(list, func(t Target) bool { return t.Place == i.place }); near > 0 {
+	if near := slices.IndexFunc(list, func(t Target) bool { return t.Place == i.opts.Place }); near > 0 {
 		list[0], list[near] = list[near], list[0]
 	}
 	return list[:min(controlTargets, len(list))]
@@ -161,7 +155,7 @@
 }
 
 func (i *isolation) accepts(ctx context.Context, address string) bool {
-	conn, err := i.dial(ctx, "tcp", address)
+	conn, err := i.opts.Dial(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -129,7 +129,7 @@
 	self := d.opts.Members.Self()
 	var list []membership.Member
 	for _, m := range d.opts.Members.Domain(self.FailureDomain) {
-		if m.Host != self.Host && m.State == membership.StateAlive && !m.TargetsUnreachable {
+		if m.Host != self.Host && m.IsUsable() {
 			list = append(list, m)
 		}
 	}
