--- a/pkg/daemon/cut_test.go
+++ b/pkg/daemon/cut_test.go
@@ -155,3 +155,7 @@
 
 // Guards against a failure domain that waits for silent targets while another failure domain has free slots.
 func TestFailureDomainWithSilentLinksServes(t *testing.T) { testCut(t, cutSilent, "h1", "h2", "h3") }
+
+// Guards against a failure domain that fails the requests for which it needs new connections, while its old ones go on working and another
+// failure domain has free slots.
+func TestFailureDomainWithoutNewLinksServes(t *testing.T) { testCut(t, cutNew, "h1", "h2", "h3") }
