Do not count silent connections of an isolated host against the target

A connection that went silent was released as lost, with the target alive, before the host's isolation was looked at. A silent connection is now one of the inconclusive findings, for which an isolated host reports a cancelled request.

TestSilentConnectionIsNoCrash, isolated host, failed before: CONNECTION_LOST in place of CANCELLED.

--- a/pkg/entry/loss.go
+++ b/pkg/entry/loss.go
@@ -26,14 +26,13 @@
 // findLossCause tries to open another connection to the target of an attempt. A target that ends resets its connections, so one that only
 // went silent is no sign of its end.
 func (h *Handler) findLossCause(rq *request, a *attempt) lossCause {
-	if a.silent {
-		return lossConnectionOnly
+	var err error
+	if !a.silent {
+		err = h.targets.Probe(context.WithoutCancel(rq.ctx), a.grant.Address)
 	}
-	err := h.targets.Probe(context.WithoutCancel(rq.ctx), a.grant.Address)
-	isolated := h.opts.Paths.Isolated()
 	inconclusive := err == nil || errors.Is(err, context.DeadlineExceeded)
 	switch {
-	case isolated && inconclusive, errors.Is(err, upstream.ErrNoPath):
+	case inconclusive && h.opts.Paths.Isolated(), errors.Is(err, upstream.ErrNoPath):
 		return lossHostIsolated
 	case err == nil:
 		return lossConnectionOnly
--- a/pkg/entry/loss_test.go
+++ b/pkg/entry/loss_test.go
@@ -67,28 +67,41 @@
 	}
 }
 
-// Guards against an innocent request that is taken for poison because a partition swallowed its connection.
+// Guards against an innocent request that is taken for poison because a partition swallowed its connection, and against a target whose
+// statistics suffer because the links of an isolated host are silent.
 func TestSilentConnectionIsNoCrash(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
-		is := is.New(t)
-		silent := true
-		var w *fixture
-		w = newFixture(t, 2, func(o *Options) {
-			o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := w.net.dial(ctx, network, address)
-				if err == nil && silent {
-					silent = false
-					w.net.remove("t0") // not even a new connection is accepted
-					return silentConn{conn}, nil
-				}
-				return conn, err
-			}
+	for _, c := range []struct {
+		name     string
+		isolated bool
+		outcome  peerv1.ReleaseOutcome
+	}{
+		{"one connection", false, outcomeLost},
+		{"isolated host", true, outcomeCancelled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				silent := true
+				var w *fixture
+				w = newFixture(t, 2, func(o *Options) {
+					o.Paths = &fixedPaths{isolated: c.isolated, reaches: true}
+					o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+						conn, err := w.net.dial(ctx, network, address)
+						if err == nil && silent {
+							silent = false
+							w.net.remove("t0") // not even a new connection is accepted
+							return silentConn{conn}, nil
+						}
+						return conn, err
+					}
+				})
+				is.Equal(w.do("GET", "/lookup/a", "").status, 200)
+				synctest.Wait()
+				w.checkReleased(is, c.outcome, outcomeOK)
+				is.Equal(w.permits.released[0].TargetAlive, !c.isolated)
+			})
 		})
-		is.Equal(w.do("GET", "/lookup/a", "").status, 200)
-		synctest.Wait()
-		w.checkReleased(is, outcomeLost, outcomeOK)
-		is.True(w.permits.released[0].TargetAlive)
-	})
+	}
 }
 
 // Guards against a request that takes permits, and uses up its attempts, at a host that reaches no target.
