Keep the first crash of a suspect request through the loss of all hosts

A host wrote the record of a request to the platform's table from its second strike on, so that one with a single crash was forgotten whenever all hosts were lost. Change: the first crash is written too, the rows of one crash in one transaction; the row is deleted once a target answers. Ruled out: the startup read (loadAtStart) reads all rows already.

--- a/pkg/permit/poison_test.go
+++ b/pkg/permit/poison_test.go
@@ -266,17 +266,7 @@
 		table := memory.New()
 		run(t, 1, 4, permittest.Objects(lookup), func(d *domain, is *is.I) {
 			d.Configure = func(o *permit.Options) { o.Table = table }
-			restart := func() {
-				for _, h := range d.Hosts() {
-					d.Kill(h)
-				}
-				for i := range 4 {
-					d.Add(fmt.Sprintf("h%d", i))
-				}
-				d.StartAll()
-				time.Sleep(3 * time.Second)
-			}
-			restart() // with the table
+			d.restartAll() // with the table
 			table.SetFaults(memory.Faults{Outage: outage})
 			first, err := d.loseConnection(d.Hosts()[0], 7)
 			is.NoErr(err)
@@ -284,13 +274,52 @@
 			is.NoErr(err)
 			table.SetFaults(memory.Faults{})
 			time.Sleep(4 * time.Second)
-			restart()
+			d.restartAll()
 			_, err = d.loseConnection(d.Hosts()[2], 7)
 			is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON)
 		})
 	}
 }
 
+// restartAll kills all hosts at once and starts four new ones.
+func (d *domain) restartAll() {
+	for _, h := range d.Hosts() {
+		d.Kill(h)
+	}
+	for i := range 4 {
+		d.Add(fmt.Sprintf("h%d", i))
+	}
+	d.StartAll()
+	time.Sleep(3 * time.Second)
+}
+
+// Guards against a poison request of which the first crash is forgotten with all hosts, so that it ends another target after each loss of
+// all hosts, and against rows of innocent requests that stay in the platform's table.
+func TestFirstCrashSurvivesTheLossOfAllHosts(t *testing.T) {
+	table := memory.New()
+	run(t, 1, 4, permittest.Objects(lookup), func(d *domain, is *is.I) {
+		d.Configure = func(o *permit.Options) { o.Table = table }
+		d.restartAll()
+		first, err := d.loseConnection(d.Hosts()[0], 7)
+		is.NoErr(err)
+		_, err = d.loseConnection(d.Hosts()[0], 8, first)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		d.restartAll()
+		innocent := d.request("lookup", time.Second)
+		innocent.Fingerprint = 8
+		is.NoErr(d.serve(d.Hosts()[1], innocent, 0))
+		_, err = d.loseConnection(d.Hosts()[1], 7)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		_, err = d.loseConnection(d.Hosts()[2], 7)
+		is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_POISON) // the second strike
+		rows, err := table.Scan(t.Context(), "poison/", "", 10)
+		is.NoErr(err)
+		is.Equal(len(rows), 1)
+	})
+}
+
 // Guards against retries that multiply the load: they are limited to a tenth of the first attempts once the saved tokens are
 // spent.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- a/pkg/poison/persist.go
+++ b/pkg/poison/persist.go
@@ -17,14 +17,16 @@
 
 // Records in the platform's table.
 //
-// All hosts may be lost at once, and their records with them. When a request is refused, the hosts that saw its crashes and the relays
-// write its record to the platform's table. A host reads these rows before it serves callers. If that fails, it starts without them, and
-// a relay reads them later and sends them to the hosts of its failure domain.
+// All hosts may be lost at once, and their records with them. When a request makes a target end, the hosts that saw its crashes and the
+// relays write its record to the platform's table, and again when a target answers it. A host reads these rows before it serves callers.
+// If that fails, it starts without them, and a relay reads them later and sends them to the hosts of its failure domain.
 
 const (
 	rowPrefix = "poison/"
 	// maxRows limits the rows that are read. One page of the users' platform has 500.
 	maxRows = 500
+	// maxRowsPerWrite limits the rows of one transaction. The users' platform takes 100.
+	maxRowsPerWrite = 50
 	// startTimeout limits how long the start of a host waits for the rows.
 	startTimeout = 500 * time.Millisecond
 	// loadDelay is the time from the start of a host until its view shows whether it is a relay.
@@ -46,11 +48,12 @@
 	}
 }
 
-// writeLoop writes records to the platform's table, one at a time.
+// writeLoop writes records to the platform's table: a target that ends is a crash of each request that it runs, so all records that wait
+// are written in one transaction.
 func (r *Registry) writeLoop(ctx context.Context) {
 	for {
-		fingerprint, found := r.takeUnwritten()
-		if !found {
+		fingerprints := r.takeUnwritten()
+		if len(fingerprints) == 0 {
 			select {
 			case <-r.wakeWriter:
 				continue
@@ -58,11 +61,9 @@
 				return
 			}
 		}
-		if err := r.write(ctx, fingerprint); err != nil {
-			log.Warn().Str("step", "poison").Err(err).Msg("record of a poison request was not written")
-			r.mu.Lock()
-			r.unwritten[fingerprint] = true
-			r.mu.Unlock()
+		if err := r.write(ctx, fingerprints); err != nil {
+			log.Warn().Str("step", "poison").Int("records", len(fingerprints)).Err(err).Msg("records of suspect requests were not written")
+			r.returnUnwritten(fingerprints)
 			if !sleep.For(ctx, storeRetryInterval) {
 				return
 			}
@@ -70,36 +71,64 @@
 	}
 }
 
-func (r *Registry) takeUnwritten() (fingerprint uint64, found bool) {
+// takeUnwritten removes and returns up to maxRowsPerWrite fingerprints of records to be written.
+func (r *Registry) takeUnwritten() []uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var fingerprints []uint64
 	for fingerprint := range r.unwritten {
+		if len(fingerprints) == maxRowsPerWrite {
+			break
+		}
 		delete(r.unwritten, fingerprint)
-		return fingerprint, true
+		fingerprints = append(fingerprints, fingerprint)
 	}
-	return 0, false
+	return fingerprints
 }
 
-// write writes a record, unless the request is no longer refused. An unknown outcome is an error: writing it again does no harm.
-func (r *Registry) write(ctx context.Context, fingerprint uint64) error {
-	now := time.Now()
+func (r *Registry) returnUnwritten(fingerprints []uint64) {
 	r.mu.Lock()
-	known := r.records[fingerprint]
-	if known == nil || !known.refusedUntil(0).After(now) {
-		r.mu.Unlock()
-		return nil
+	defer r.mu.Unlock()
+	for _, fingerprint := range fingerprints {
+		r.unwritten[fingerprint] = true
 	}
-	row := &peerv1.PoisonRow{Record: known.encode(fingerprint, now), WrittenUnixMs: now.UnixMilli()}
-	r.mu.Unlock()
-	value, err := proto.Marshal(row)
-	if err != nil {
-		return errors.Wrap(err, "encode record of a poison request")
+}
+
+// write writes records in one transaction. An unknown outcome is an error: writing them again does no harm.
+func (r *Registry) write(ctx context.Context, fingerprints []uint64) error {
+	txn, err := r.rowsToWrite(fingerprints)
+	if err != nil || len(txn.Writes) == 0 {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	key := rowPrefix + strconv.FormatUint(fingerprint, 36)
-	err = r.opts.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
-	return steperr.Wrap(err, "write record of a poison request", "platform")
+	return steperr.Wrap(r.opts.Table.Commit(ctx, txn), "write records of suspect requests", "platform")
+}
+
+// rowsToWrite returns the transaction that writes the rows of records. The row of a request that was answered after its crashes is
+// deleted.
+func (r *Registry) rowsToWrite(fingerprints []uint64) (store.Txn, error) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var txn store.Txn
+	for _, fingerprint := range fingerprints {
+		key := rowPrefix + strconv.FormatUint(fingerprint, 36)
+		known := r.records[fingerprint]
+		if known != nil {
+			known.persisted = len(known.crashes) > 0
+		}
+		if known == nil || !known.persisted {
+			txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true})
+			continue
+		}
+		value, err := proto.Marshal(&peerv1.PoisonRow{Record: known.encode(fingerprint, now), WrittenUnixMs: now.UnixMilli()})
+		if err != nil {
+			return txn, errors.Wrap(err, "encode record of a suspect request")
+		}
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+	}
+	return txn, nil
 }
 
 // loadRows reads the records in the platform's table if this host is a relay, and deletes those that have expired.
@@ -152,6 +181,7 @@
 		records = append(records, m.GetRecord())
 	}
 	r.receive(records, to)
+	r.markPersisted(records)
 	if len(expired.Writes) == 0 {
 		return nil
 	}
@@ -162,6 +192,17 @@
 	return steperr.Wrap(err, "delete expired records of poison requests", "platform")
 }
 
+// markPersisted marks the records that were read from the platform's table.
+func (r *Registry) markPersisted(records []*peerv1.PoisonRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range records {
+		if known := r.records[m.GetFingerprint()]; known != nil {
+			known.persisted = true
+		}
+	}
+}
+
 // addAge adds the time since a record was written to the times in it.
 func addAge(m *peerv1.PoisonRecord, age time.Duration) {
 	if m.GetAnsweredAgoMs() >= 0 {
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -40,6 +40,8 @@
 	// answeredAt is when a target last answered the request, or zero. A poison request is never answered, so an answer voids the
 	// crashes before it.
 	answeredAt time.Time
+	// persisted is set while the platform's table has a row of the record, as far as this host knows. It is not merged.
+	persisted bool
 }
 
 // add adds a crash and reports whether the record has changed. Crashes that ended poisonTTL before the last one, and the oldest of more
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -29,7 +29,7 @@
 	View      membership.View
 	Caller    peer.Caller
 	Registrar peer.Registrar
-	// Table keeps the records of refused requests for the case that all hosts are lost; nil means that nothing is kept.
+	// Table keeps the records of suspect requests for the case that all hosts are lost; nil means that nothing is kept.
 	Table store.Table
 	Scope tally.Scope
 }
@@ -171,11 +171,13 @@
 	}
 	before := known.strikes()
 	known.merge(o)
-	if strikes := known.strikes(); strikes > before && strikes >= 2 {
+	strikes := known.strikes()
+	if strikes > before && strikes >= 2 {
 		r.logVerdict(fingerprint, known, strikes)
-		if to != 0 { // this host has seen a crash or is a relay; the crashes may have been seen by different hosts
-			r.persist(fingerprint)
-		}
+	}
+	// Receivers mean that this host has seen the crash or the answer or is a relay; the crashes may have been seen by different hosts.
+	if to != 0 && (strikes > before || strikes == 0 && known.persisted) {
+		r.persist(fingerprint)
 	}
 	r.count.Store(int64(len(r.records)))
 	r.suspects.Update(float64(len(r.records)))
