Count the bytes sent to peers by kind of message and distance

Change: peer_sent_bytes by session class and peer_message_bytes by method, both by distance (place, region, other). A host states its place in the Hello.

--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -185,6 +185,7 @@
 
 // send writes one envelope. It ends the session and returns false on an error.
 func (c *controlClient) send(w *bufio.Writer, e *peerv1.Envelope) bool {
+	c.node.traffic.countMessage(methodOf(e), e, c.session.remote)
 	err := writeEnvelope(w, e)
 	if err != nil {
 		c.session.fail(steperr.Wrap(err, "write call", c.session.remote.Host))
@@ -192,6 +193,17 @@
 	return err == nil
 }
 
+// methodOf returns the method of a call, or cancelMethod for a cancellation.
+func methodOf(e *peerv1.Envelope) string {
+	if e.GetCancel() {
+		return cancelMethod
+	}
+	return e.GetMethod()
+}
+
+// cancelMethod stands for cancellations in the metrics.
+const cancelMethod = "cancel"
+
 func writeEnvelope(w *bufio.Writer, e *peerv1.Envelope) error {
 	if _, err := protodelim.MarshalTo(w, e); err != nil {
 		return err
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -26,12 +28,14 @@
 	// lastRead is the time of the last read, in nanoseconds since started.
 	lastRead atomic.Int64
 	started  time.Time
+	// sent counts the bytes written.
+	sent tally.Counter
 	// onWriteError is called when a write fails, before the error is returned.
 	onWriteError func()
 }
 
 func newTrackedConn(conn net.Conn) *trackedConn {
-	return &trackedConn{Conn: conn, started: time.Now(), onWriteError: func() {}}
+	return &trackedConn{Conn: conn, started: time.Now(), sent: tally.NoopScope.Counter(""), onWriteError: func() {}}
 }
 
 func (c *trackedConn) Read(p []byte) (int, error) {
@@ -78,6 +82,7 @@
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := c.Conn.Write(piece)
 		written += n
+		c.sent.Inc(int64(n))
 		if err != nil {
 			c.onWriteError()
 			return written, err
--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -69,7 +69,7 @@
 func hello(self Identity, class SessionClass) *peerv1.Hello {
 	return &peerv1.Hello{
 		Host: self.Host, Incarnation: self.Incarnation, FailureDomain: self.FailureDomain, Region: self.Region,
-		Session: string(class),
+		Session: string(class), Place: self.Place,
 	}
 }
 
@@ -90,6 +90,7 @@
 	}
 	return Identity{
 		Host: h.GetHost(), Incarnation: h.GetIncarnation(), FailureDomain: h.GetFailureDomain(), Region: h.GetRegion(),
+		Place: h.GetPlace(),
 	}, class, nil
 }
 
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -119,7 +119,7 @@
 		_ = conn.Close()
 		return nil, steperr.Wrap(err, "handshake with "+to.Addr, to.Name())
 	}
-	s, err := newSession(secured, remote, class, true)
+	s, err := newSession(secured, remote, class, true, n.traffic)
 	if err != nil {
 		_ = conn.Close()
 		return nil, steperr.Wrap(err, "start session", to.Name())
--- a/pkg/peer/module.go
+++ b/pkg/peer/module.go
@@ -45,7 +45,8 @@
 		return steperr.Wrap(err, "listen for peers", s.PeerListen)
 	}
 	m.Self = Identity{
-		Host: s.Host, Incarnation: uint64(time.Now().UnixMicro()), FailureDomain: s.EffectiveDispatchDomain(), Region: s.Region,
+		Host: s.Host, Incarnation: uint64(time.Now().UnixMicro()), FailureDomain: s.EffectiveDispatchDomain(), Place: s.FailureDomain,
+		Region: s.Region,
 	}
 	m.Node = New(Options{Self: m.Self, Listener: listener, TLS: tlsConfig, Scope: scope.Scope})
 	return nil
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -19,6 +19,7 @@
 type Node struct {
 	opts          Options
 	metrics       metrics
+	traffic       *traffic
 	handlers      map[string]Handler
 	forwardServer *http.Server
 
@@ -49,6 +50,7 @@
 		transports: map[transportKey]*forwardTransport{},
 	}
 	n.metrics = newMetrics(n.opts.Scope)
+	n.traffic = newTraffic(n.opts.Scope, n.opts.Self)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.forwardServer = &http.Server{
 		Handler: http.NotFoundHandler(), ConnContext: forwardContext, ReadHeaderTimeout: headerTimeout,
@@ -131,7 +133,7 @@
 		_ = conn.Close()
 		return
 	}
-	s, err := newSession(secured, from, class, false)
+	s, err := newSession(secured, from, class, false, n.traffic)
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -14,8 +14,10 @@
 type Identity struct {
 	Host string
 	// Incarnation is the start time of the host's process, in microseconds since the Unix epoch.
-	Incarnation   uint64
+	Incarnation uint64
+	// FailureDomain is the dispatch domain of the host; Place is the failure domain in which it physically is.
 	FailureDomain string
+	Place         string
 	Region        string
 }
 
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -94,6 +94,7 @@
 		// The client has cancelled the call or its deadline has passed.
 		return
 	}
+	c.node.traffic.countMessage(call.GetMethod(), answer, c.session.remote)
 	c.answer(answer)
 }
 
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -34,8 +34,9 @@
 }
 
 // newSession starts yamux on a connection after the handshake, as its client if the connection was dialed.
-func newSession(conn net.Conn, remote Identity, class SessionClass, dialed bool) (*session, error) {
+func newSession(conn net.Conn, remote Identity, class SessionClass, dialed bool, t *traffic) (*session, error) {
 	s := &session{remote: remote, class: class, conn: newTrackedConn(conn), streams: map[*stream]struct{}{}}
+	s.conn.sent = t.sentBytes(class, remote)
 	s.conn.onWriteError = s.interruptStreams
 	s.touch()
 	start := yamux.Server
--- a/pkg/peer/stream_test.go
+++ b/pkg/peer/stream_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 )
 
 // Guards against reads that continue while their session closes: yamux then reads in a busy loop, which blocked hosts with
@@ -14,9 +15,9 @@
 func TestReadsEndBeforeTheirSession(t *testing.T) {
 	is := is.New(t)
 	here, there := net.Pipe()
-	client, err := newSession(here, Identity{Host: "b"}, SessionControl, true)
+	client, err := newSession(here, Identity{Host: "b"}, SessionControl, true, newTraffic(tally.NoopScope, Identity{}))
 	is.NoErr(err)
-	server, err := newSession(there, Identity{Host: "a"}, SessionControl, false)
+	server, err := newSession(there, Identity{Host: "a"}, SessionControl, false, newTraffic(tally.NoopScope, Identity{}))
 	is.NoErr(err)
 	defer client.fail(ErrClosed)
 	defer server.fail(ErrClosed)
