Shorten control messages and leave out pings on busy sessions

Cause: a heartbeat or permit call repeats the caller's incarnation twice and the name of its method, a third of a short message, and each session sends a ping every 500 ms although other messages show that it is alive. Change: calls name methods by hash where the Hello of the peer says that it knows them, and carry no incarnation, which the handshake has settled; a session on which bytes arrived within 500 ms sends no ping.

--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -101,9 +102,13 @@
 func (c *controlClient) roundTrip(ctx context.Context, method string, payload []byte) (*peerv1.Envelope, error) {
 	id, answers := c.register()
 	defer c.unregister(id)
-	call := &peerv1.Envelope{
-		Id: id, Incarnation: c.node.opts.Self.Incarnation, Method: method, Payload: payload, TimeoutMs: remainingMs(ctx),
+	call := &peerv1.Envelope{Id: id, Payload: payload, TimeoutMs: remainingMs(ctx)}
+	if c.session.remote.knowsMethodHashes {
+		call.MethodHash = methodHash(method)
+	} else {
+		call.Method = method
 	}
+	c.node.traffic.countMessage(method, call, c.session.remote)
 	select {
 	case c.calls <- call:
 	case <-c.session.mux.CloseChan():
@@ -176,7 +181,7 @@
 				return
 			}
 		case id := <-c.cancels:
-			if !c.send(w, &peerv1.Envelope{Id: id, Incarnation: c.node.opts.Self.Incarnation, Cancel: true}) {
+			if !c.send(w, &peerv1.Envelope{Id: id, Cancel: true}) {
 				return
 			}
 		}
@@ -185,7 +190,6 @@
 
 // send writes one envelope. It ends the session and returns false on an error.
 func (c *controlClient) send(w *bufio.Writer, e *peerv1.Envelope) bool {
-	c.node.traffic.countMessage(methodOf(e), e, c.session.remote)
 	err := writeEnvelope(w, e)
 	if err != nil {
 		c.session.fail(steperr.Wrap(err, "write call", c.session.remote.Host))
@@ -193,16 +197,8 @@
 	return err == nil
 }
 
-// methodOf returns the method of a call, or cancelMethod for a cancellation.
-func methodOf(e *peerv1.Envelope) string {
-	if e.GetCancel() {
-		return cancelMethod
-	}
-	return e.GetMethod()
-}
-
-// cancelMethod stands for cancellations in the metrics.
-const cancelMethod = "cancel"
+// methodHash returns the hash by which hosts know a method: names are a third of a short message.
+func methodHash(method string) uint32 { return uint32(xxhash.Sum64String(method)) }
 
 func writeEnvelope(w *bufio.Writer, e *peerv1.Envelope) error {
 	if _, err := protodelim.MarshalTo(w, e); err != nil {
@@ -231,11 +227,12 @@
 	return protodelim.UnmarshalOptions{MaxSize: maxMessage + envelopeOverhead}.UnmarshalFrom(r, e)
 }
 
-// deliver hands an answer to its call. It drops answers whose ID or incarnation matches no pending call.
+// deliver hands an answer to its call. It drops answers whose ID matches no pending call, and those that name an incarnation: calls name
+// none, because the handshake of the session identifies both processes.
 func (c *controlClient) deliver(answer *peerv1.Envelope) {
 	c.mu.Lock()
 	answers, ok := c.pending[answer.GetId()]
-	matched := ok && answer.GetIncarnation() == c.node.opts.Self.Incarnation
+	matched := ok && answer.GetIncarnation() == 0
 	if matched {
 		delete(c.pending, answer.GetId())
 	}
--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -69,7 +69,7 @@
 func hello(self Identity, class SessionClass) *peerv1.Hello {
 	return &peerv1.Hello{
 		Host: self.Host, Incarnation: self.Incarnation, FailureDomain: self.FailureDomain, Region: self.Region,
-		Session: string(class), Place: self.Place,
+		Session: string(class), Place: self.Place, KnowsMethodHashes: true,
 	}
 }
 
@@ -90,7 +90,7 @@
 	}
 	return Identity{
 		Host: h.GetHost(), Incarnation: h.GetIncarnation(), FailureDomain: h.GetFailureDomain(), Region: h.GetRegion(),
-		Place: h.GetPlace(),
+		Place: h.GetPlace(), knowsMethodHashes: h.GetKnowsMethodHashes(),
 	}, class, nil
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -17,10 +17,12 @@
 
 // Node manages the sessions between one host and its peers. It makes and serves RPCs and forwards HTTP requests.
 type Node struct {
-	opts          Options
-	metrics       metrics
-	traffic       *traffic
-	handlers      map[string]Handler
+	opts     Options
+	metrics  metrics
+	traffic  *traffic
+	handlers map[string]Handler
+	// methods holds the names of the methods with a handler, by hash.
+	methods       map[uint32]string
 	forwardServer *http.Server
 
 	ctx    context.Context
@@ -45,6 +47,7 @@
 	n := &Node{
 		opts:       opts.withDefaults(),
 		handlers:   map[string]Handler{},
+		methods:    map[uint32]string{},
 		links:      map[linkKey]*link{},
 		sessions:   map[*session]struct{}{},
 		transports: map[transportKey]*forwardTransport{},
@@ -59,15 +62,17 @@
 	return n
 }
 
-// Handle implements Registrar. It panics if the method is already registered or the node has started, which are programming
-// errors.
+// Handle implements Registrar. It panics if the method, or one with the same hash, is already registered or the node has started, which
+// are programming errors.
 func (n *Node) Handle(method string, h Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.handlers[method]; ok || n.started {
+	hash := methodHash(method)
+	if _, ok := n.methods[hash]; ok || n.started {
 		panic("peer: method " + method + " registered twice or after Start")
 	}
 	n.handlers[method] = h
+	n.methods[hash] = method
 }
 
 // Start accepts connections until ctx ends or Close is called. It returns an error if it is called twice.
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// keepaliveInterval is the time between two pings on a session.
+	// keepaliveInterval is the time between two pings on a session on which nothing else arrives.
 	keepaliveInterval = 500 * time.Millisecond
 	// pingTimeout is the time without an answered ping after which a session is closed.
 	pingTimeout = 1500 * time.Millisecond
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -19,6 +19,8 @@
 	FailureDomain string
 	Place         string
 	Region        string
+	// knowsMethodHashes is set if the host knows methods by their hashes. It is part of the Hello.
+	knowsMethodHashes bool
 }
 
 // Address is the peer address of a host. Host is empty if only the address is known, as for a seed.
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -89,6 +89,9 @@
 func (c *controlServer) run(ctx context.Context, call *peerv1.Envelope) {
 	defer c.cancel(call.GetId())
 	c.node.metrics.served.Inc(1)
+	if call.GetMethodHash() != 0 {
+		call.Method = c.node.methods[call.GetMethodHash()]
+	}
 	answer := c.node.handle(ctx, c.session.remote, call)
 	if ctx.Err() != nil {
 		// The client has cancelled the call or its deadline has passed.
@@ -137,7 +140,7 @@
 func (n *Node) handle(ctx context.Context, from Identity, call *peerv1.Envelope) *peerv1.Envelope {
 	handler, ok := n.handlers[call.GetMethod()]
 	if !ok {
-		return failure(call, fmt.Sprintf("no method %q", call.GetMethod()))
+		return failure(call, fmt.Sprintf("no method %q, hash %d", call.GetMethod(), call.GetMethodHash()))
 	}
 	message, err := handler(ctx, from, call.GetPayload())
 	if err != nil {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -103,8 +103,9 @@
 	return errors.Mark(s.cause, ErrSessionLost)
 }
 
-// keepalive sends a ping every keepaliveInterval, unless one is in flight, and closes the session when pingDeadline has
-// passed. It returns when the session ends.
+// keepalive sends a ping every keepaliveInterval, unless one is in flight or bytes have arrived since the last one, and closes the session
+// when pingDeadline has passed. It returns when the session ends. Bytes that arrive do not show that the other direction works. If it does
+// not, the peer hears nothing and closes the session.
 func (s *session) keepalive() {
 	pingResults := make(chan error, 1)
 	pingInFlight := false
@@ -117,8 +118,13 @@
 		select {
 		case <-s.mux.CloseChan():
 			return
-		case <-ticker.C:
-			if !pingInFlight {
+		case now := <-ticker.C:
+			switch heard := s.conn.lastReadAt(); {
+			case pingInFlight:
+			case now.Sub(heard) < keepaliveInterval && s.roundTrip.Load() > 0:
+				lastReply = heard
+				limit.Reset(s.pingDeadline(lastReply).Sub(now))
+			default:
 				pingInFlight = true
 				go func() { pingResults <- s.ping() }()
 			}
