Send a host's record in heartbeats only while the receiver lacks it, and watch hosts mostly within their place

Change: heartbeats and replies acknowledge the version of the record that they know, and leave out a record that the other end has. A host has two watchers in its place and one in another place, instead of three anywhere. Hosts of an earlier version acknowledge nothing and get whole records.

--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -86,9 +86,15 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	t.sequence++
+	self := t.selfRecord()
 	h := &peerv1.Heartbeat{
-		Sender: t.selfRecord().encode(now), ConfigVersion: version, Held: held, Sequence: t.sequence,
-		Digest: t.view.Load().digest,
+		ConfigVersion: version, Held: held, Sequence: t.sequence, Digest: t.view.Load().digest, SenderVersion: self.version,
+	}
+	if r == nil || r.acknowledgedVersion != self.version {
+		h.Sender = self.encode(now)
+	}
+	if r != nil {
+		h.ReceiverVersion = r.version
 	}
 	if r != nil && r.wantsFullList {
 		h.Members = t.fullMemberList(r, now)
@@ -127,13 +133,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sender := reply.GetSender()
+	if known := t.records[to.Host]; sender == nil && known != nil {
+		sender = known.encode(time.Now())
+	}
 	t.addContact(to.Addr, sender)
 	changed := t.merge(reply.GetMembers())
 	if sender.GetFailureDomain() == t.opts.Self.FailureDomain {
 		t.domainAnswered = true
 		changed = t.observeSender(sender, reply.GetConfigVersion()) || changed
-		if r := t.records[sender.GetHost()]; r != nil && reply.GetWantMembers() {
-			r.wantsFullList = true
+		if r := t.records[sender.GetHost()]; r != nil {
+			r.acknowledgedVersion = reply.GetAcknowledgedVersion()
+			r.wantsFullList = r.wantsFullList || reply.GetWantMembers()
 		}
 	}
 	if changed {
@@ -158,21 +168,28 @@
 // onHeartbeat answers a heartbeat. It refuses one from an earlier incarnation of the sender and returns the newer record
 // instead. A sender in another failure domain gets the members of its own domain.
 func (t *Tracker) onHeartbeat(from peer.Identity, h *peerv1.Heartbeat) (proto.Message, error) {
-	sender := h.GetSender()
-	if sender.GetHost() != from.Host || sender.GetIncarnation() != from.Incarnation {
+	if sender := h.GetSender(); sender != nil && (sender.GetHost() != from.Host || sender.GetIncarnation() != from.Incarnation) {
 		return nil, errors.Newf("heartbeat of %s does not match the host and incarnation of its session with %s", sender.GetHost(), from.Host)
 	}
 	version := t.opts.ConfigVersion()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	reply := &peerv1.HeartbeatReply{Sender: t.selfRecord().encode(now), ConfigVersion: version}
-	if r := t.records[sender.GetHost()]; r != nil && r.Incarnation > sender.GetIncarnation() {
+	reply := &peerv1.HeartbeatReply{ConfigVersion: version}
+	if self := t.selfRecord(); h.GetReceiverVersion() != self.version {
+		reply.Sender = self.encode(now)
+	}
+	if r := t.records[from.Host]; r != nil && r.Incarnation > from.Incarnation {
 		t.metrics.refusedIncarnations.Inc(1)
 		reply.Refused = true
 		reply.Members = []*peerv1.Member{r.encode(now)}
 		return reply, nil
 	}
+	sender := t.restoreSender(from, h, now)
+	if sender == nil {
+		return reply, nil // the next heartbeat has the record, because this reply acknowledges none
+	}
+	h.Sender = sender
 	t.addContact(sender.GetPeerAddress(), sender)
 	if sender.GetFailureDomain() != t.opts.Self.FailureDomain {
 		reply.Members = t.domainMembers(sender.GetFailureDomain(), now)
@@ -182,9 +199,25 @@
 		t.publish()
 	}
 	t.addMissingMembers(h, reply, now)
+	if r := t.records[from.Host]; r != nil && r.Incarnation == from.Incarnation {
+		reply.AcknowledgedVersion = r.version
+	}
 	return reply, nil
 }
 
+// restoreSender returns the sender's record from the heartbeat or, if that leaves it out, from the table. It returns nil if the table has
+// no such version of it. t.mu must be held.
+func (t *Tracker) restoreSender(from peer.Identity, h *peerv1.Heartbeat, now time.Time) *peerv1.Member {
+	if h.GetSender() != nil {
+		return h.GetSender()
+	}
+	r := t.records[from.Host]
+	if r == nil || r.Incarnation != from.Incarnation || r.version != h.GetSenderVersion() {
+		return nil
+	}
+	return r.encode(now)
+}
+
 // applyHeartbeat merges a heartbeat of the local failure domain and returns whether the table changed. t.mu must be held.
 func (t *Tracker) applyHeartbeat(h *peerv1.Heartbeat, now time.Time) bool {
 	changed := t.merge(h.GetMembers())
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -35,9 +35,12 @@
 	held          []HeldPermits
 	heldReported  bool
 
-	sending        bool
-	wantsFullList  bool
-	fullListSentAt time.Time
+	sending bool
+	// acknowledgedVersion is the version of this host's own record that the host has in its table, as far as its replies tell. Heartbeats
+	// to it leave out a record that it has.
+	acknowledgedVersion uint64
+	wantsFullList       bool
+	fullListSentAt      time.Time
 }
 
 // supersedes reports whether m is newer than r, by incarnation, then version, then state.
--- a/pkg/membership/ring.go
+++ b/pkg/membership/ring.go
@@ -7,33 +7,63 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// sortRing sorts hosts by the hash of their name. Hosts with similar names, such as those of one rack, may fail together and
-// are spread over the ring.
-func sortRing(hosts []string) {
-	slices.SortFunc(hosts, func(a, b string) int {
+// ring holds the hosts of a failure domain that watch each other, in an order on which all of them agree.
+type ring struct {
+	hosts []string
+	// places holds the place of each host.
+	places map[string]string
+}
+
+// newRing returns a ring of hosts, sorted by the hash of their name. Hosts with similar names, such as those of one rack, may fail
+// together and are spread over the ring.
+func newRing(places map[string]string) ring {
+	r := ring{places: places, hosts: make([]string, 0, len(places))}
+	for host := range places {
+		r.hosts = append(r.hosts, host)
+	}
+	slices.SortFunc(r.hosts, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
+	return r
 }
 
-// successors returns the hosts to which a host sends heartbeats.
-func successors(ring []string, host string) []string { return neighbours(ring, host, 1) }
-
-// predecessors returns the hosts from which a host receives heartbeats.
-func predecessors(ring []string, host string) []string { return neighbours(ring, host, -1) }
-
-// neighbours returns the hosts next to a host in the ring, in the direction of step (1 or -1).
-func neighbours(ring []string, host string, step int) []string {
-	at := slices.Index(ring, host)
+// successors returns the hosts to which a host sends heartbeats, which watch it: the next ones in the ring. Of more than meshSize hosts
+// there are ringSuccessors, of which one is in another place, so that the loss of a whole place is noticed, and the others are in the same
+// place if it has enough hosts: messages between places are expensive.
+func (r ring) successors(host string) []string {
+	at := slices.Index(r.hosts, host)
 	if at < 0 {
 		return nil
 	}
-	count := ringSuccessors
-	if len(ring) <= meshSize {
-		count = len(ring) - 1
+	next := slices.Concat(r.hosts[at+1:], r.hosts[:at])
+	if len(r.hosts) <= meshSize {
+		return next
 	}
-	list := make([]string, 0, count)
-	for i := 1; i <= count; i++ {
-		list = append(list, ring[(at+step*i+len(ring))%len(ring)])
+	isNear := func(h string) bool { return r.places[h] == r.places[host] }
+	near, far := partition(next, isNear)
+	near = near[:min(len(near), max(ringSuccessors-1, ringSuccessors-len(far)))]
+	return append(near, far[:min(len(far), ringSuccessors-len(near))]...)
+}
+
+// predecessors returns the hosts from which a host receives heartbeats.
+func (r ring) predecessors(host string) []string {
+	var list []string
+	for _, h := range r.hosts {
+		if slices.Contains(r.successors(h), host) {
+			list = append(list, h)
+		}
 	}
 	return list
 }
+
+// partition returns the elements of a list for which a predicate holds, and the others.
+func partition(list []string, holds func(string) bool) (yes, no []string) {
+	for _, s := range list {
+		if holds(s) {
+			yes = append(yes, s)
+		} else {
+			no = append(no, s)
+		}
+	}
+	return yes, no
+}
--- a/pkg/membership/tracker_test.go
+++ b/pkg/membership/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -286,9 +287,9 @@
 func TestRing(t *testing.T) {
 	is := is.New(t)
 	for size := 1; size <= 40; size++ {
-		var hosts []string
+		hosts := map[string]string{}
 		for i := range size {
-			hosts = append(hosts, fmt.Sprintf("host-%d", i))
+			hosts[fmt.Sprintf("host-%d", i)] = "place"
 		}
 		watchers := map[string]int{}
 		for i := range size {
@@ -312,3 +313,37 @@
 		}
 	}
 }
+
+// Guards against a place whose loss is noticed late because only hosts of that place watch each other, and against heartbeats between
+// places that are not needed for that.
+func TestRingWatchesEachPlaceFromAnother(t *testing.T) {
+	for _, sizes := range [][]int{{4, 2}, {7, 4}, {7, 2}, {5, 1}, {20, 20}, {3, 3, 3}} {
+		is := is.New(t)
+		hosts := map[string]string{}
+		for place, size := range sizes {
+			for i := range size {
+				hosts[fmt.Sprintf("host-%d-%d", place, i)] = fmt.Sprint("place-", place)
+			}
+		}
+		for host, place := range hosts {
+			watchers, _ := membership.Neighbours(hosts, host)
+			is.Equal(len(watchers), 3)
+			far := 0
+			for _, w := range watchers {
+				is.True(w != host)
+				if hosts[w] != place {
+					far++
+				}
+				_, watched := membership.Neighbours(hosts, w)
+				is.True(slices.Contains(watched, host))
+			}
+			size := 0
+			for _, p := range hosts {
+				if p == place {
+					size++
+				}
+			}
+			is.Equal(far, max(1, 4-size))
+		}
+	}
+}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -18,7 +18,9 @@
 	byDomain map[string][]Member
 	byName   map[string]Member
 	// ring holds the hosts of the local failure domain that are not dead, in ring order.
-	ring         []string
+	ring []string
+	// places holds the place of each host in the ring.
+	places       map[string]string
 	successors   []string
 	predecessors []string
 	// digest combines the hashes of the hosts in the ring.
@@ -30,7 +32,7 @@
 func (t *Tracker) publish() {
 	next := &snapshot{
 		self: t.selfRecord().publicMember(), byDomain: map[string][]Member{}, byName: make(map[string]Member, len(t.records)),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), places: map[string]string{},
 	}
 	for _, r := range t.records {
 		next.add(r, t.opts.Self.FailureDomain)
@@ -40,9 +42,10 @@
 	for _, list := range next.byDomain {
 		slices.SortFunc(list, byHost)
 	}
-	sortRing(next.ring)
-	next.successors = successors(next.ring, next.self.Host)
-	next.predecessors = predecessors(next.ring, next.self.Host)
+	r := newRing(next.places)
+	next.ring = r.hosts
+	next.successors = r.successors(next.self.Host)
+	next.predecessors = r.predecessors(next.self.Host)
 	invariant.Check(t.selfRecord().State == StateAlive || t.selfRecord().State == StateLeaving, "membership-self",
 		"host %s is in state %d in its own member table", next.self.Host, t.selfRecord().State)
 	invariant.Check(slices.Contains(next.ring, next.self.Host), "membership-ring",
@@ -72,7 +75,7 @@
 		v.byDomain[m.FailureDomain] = append(v.byDomain[m.FailureDomain], m)
 	}
 	if m.FailureDomain == localDomain {
-		v.ring = append(v.ring, m.Host)
+		v.places[m.Host] = m.Place
 		v.digest ^= r.hash()
 	}
 }
