Pass tables on through one host of each place

Change: the host that ranks highest in a place polls the reader, gets the pushes and passes them on; the others poll that host. If a push to it fails, the reader sends to all hosts of the place.

--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -15,27 +15,56 @@
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
-// push sends changed rows to the other hosts of the dispatch domain. A host that misses them gets them by its next poll.
-func (f *Follower) push(ctx context.Context, t *followedTable, changed []store.WatchedRow) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
-	defer cancel()
+// pushToDomain sends changed rows to the other hosts of the dispatch domain: directly to those of this place, and through their place
+// reader to those of other places. A host that misses them gets them by its next poll.
+func (f *Follower) pushToDomain(ctx context.Context, t *followedTable, changed []store.WatchedRow) {
 	m := t.rowsMessage(changed, time.Now())
 	self := f.opts.View.Self()
-	var calls conc.WaitGroup
-	for _, member := range f.opts.View.Domain(self.FailureDomain) {
-		if member.Host == self.Host {
-			continue
-		}
-		calls.Go(func() {
-			err := f.opts.Caller.Call(ctx, member.Address(), methodPush, &peerv1.WatchedPush{Table: m}, &peerv1.WatchedPushResponse{})
-			if err != nil {
-				f.opts.Scope.Counter("push_failures").Inc(1)
+	var places conc.WaitGroup
+	for place, members := range membersByPlace(f.opts.View.Domain(self.FailureDomain)) {
+		places.Go(func() {
+			if place == self.Place {
+				f.pushToAll(ctx, members, m)
+			} else {
+				f.pushToPlace(ctx, members, m)
 			}
 		})
 	}
+	places.Wait()
+}
+
+// pushToPlace sends rows to the place reader of another place, which passes them on, or directly to all hosts there if that fails.
+func (f *Follower) pushToPlace(ctx context.Context, members []membership.Member, m *peerv1.WatchedTable) {
+	reader, ok := ownerOf(members)
+	if ok && f.push(ctx, reader, &peerv1.WatchedPush{Table: m, PassOn: true}) {
+		return
+	}
+	f.pushToAll(ctx, members, m)
+}
+
+// pushToAll sends rows to some hosts, without this one.
+func (f *Follower) pushToAll(ctx context.Context, members []membership.Member, m *peerv1.WatchedTable) {
+	self := f.opts.View.Self().Host
+	var calls conc.WaitGroup
+	for _, member := range members {
+		if member.Host != self {
+			calls.Go(func() { f.push(ctx, member, &peerv1.WatchedPush{Table: m}) })
+		}
+	}
 	calls.Wait()
 }
 
+// push sends rows to a host and reports whether that has received them. It does not end with ctx but after peerTimeout.
+func (f *Follower) push(ctx context.Context, to membership.Member, m *peerv1.WatchedPush) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
+	defer cancel()
+	err := f.opts.Caller.Call(ctx, to.Address(), methodPush, m, &peerv1.WatchedPushResponse{})
+	if err != nil {
+		f.opts.Scope.Counter("push_failures").Inc(1)
+	}
+	return err == nil
+}
+
 // fetchFromRandomPeer fetches the tables from a random host of any dispatch domain that is not suspect: the platform may
 // refuse some hosts and serve others.
 func (f *Follower) fetchFromRandomPeer(ctx context.Context) {
@@ -98,7 +127,8 @@
 	return resp, nil
 }
 
-func (f *Follower) handlePush(_ context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
+// handlePush merges pushed rows and, if it is asked to, passes them on to the other hosts of this place in the background.
+func (f *Follower) handlePush(ctx context.Context, from peer.Identity, payload []byte) (proto.Message, error) {
 	push := &peerv1.WatchedPush{}
 	if err := proto.Unmarshal(payload, push); err != nil {
 		return nil, steperr.Wrap(err, "decode pushed rows of a watched table", from.Host)
@@ -106,5 +136,9 @@
 	if t := f.table(push.GetTable().GetTable()); t != nil {
 		t.merge(decodeUpdate(push.GetTable(), from.Host), time.Now())
 	}
+	if push.GetPassOn() {
+		self := f.opts.View.Self()
+		go f.pushToAll(ctx, membersByPlace(f.opts.View.Domain(self.FailureDomain))[self.Place], push.GetTable())
+	}
 	return &peerv1.WatchedPushResponse{}, nil
 }
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -1,10 +1,13 @@
 // Package watch maintains local copies of platform tables that other programs write. In each dispatch domain one host, the
-// reader, reads the changefeed of the platform and pushes changes to the others. These also poll the reader, read the
-// platform themselves if their copy is stale, and fetch from a random peer if the platform refuses their reads.
+// reader, reads the changefeed of the platform and pushes changes to the others. These also poll it, read the
+// platform themselves if their copy is stale, and fetch from a random peer if the platform refuses their reads. Where several places
+// share a dispatch domain, one host of each place, its place reader, polls the reader, gets the pushes and passes them on; the other
+// hosts poll that one, because messages between places are expensive.
 package watch
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,12 +24,13 @@
 )
 
 const (
-	// readerKey is the rendezvous hash key that selects the reader of a dispatch domain.
+	// readerKey is the rendezvous hash key that selects the reader of a dispatch domain, and the place reader of each place. The reader
+	// ranks highest of all hosts and is therefore the place reader of its own place.
 	readerKey = "watch/reader"
-	// fetchInterval is the time between two polls of the reader.
+	// fetchInterval is the time between two polls of the reader or the place reader.
 	fetchInterval = 300 * time.Millisecond
 	// staleMargin is added to the reader's time between two reads to get the age above which a host reads the platform
-	// itself. It allows for a poll of the reader and for delays in both processes.
+	// itself. It allows for a poll of the reader, one of the place reader, and for delays in the processes.
 	staleMargin = 900 * time.Millisecond
 	// readTimeout is the minimum timeout of a read, which applies if the read does not wait for a change.
 	readTimeout = time.Second
@@ -122,17 +126,41 @@
 // reader returns the reader of this dispatch domain; the result is false if that is this host or there is none.
 func (f *Follower) reader() (membership.Member, bool) {
 	self := f.opts.View.Self()
-	members := f.opts.View.Domain(self.FailureDomain)
+	reader, ok := ownerOf(f.opts.View.Domain(self.FailureDomain))
+	return reader, ok && reader.Host != self.Host
+}
+
+// source returns the host that this one polls: its place reader or, if that is this host, the reader. The result is false if there is
+// none.
+func (f *Follower) source() (membership.Member, bool) {
+	self := f.opts.View.Self()
+	near, ok := ownerOf(membersByPlace(f.opts.View.Domain(self.FailureDomain))[self.Place])
+	if ok && near.Host != self.Host {
+		return near, true
+	}
+	return f.reader()
+}
+
+// ownerOf returns the host that ranks highest for readerKey; ok is false if there is none.
+func ownerOf(members []membership.Member) (owner membership.Member, ok bool) {
 	names := make([]string, len(members))
 	for i, m := range members {
 		names[i] = m.Host
 	}
-	owner := rendezvous.Owner(readerKey, names)
-	if owner == "" || owner == self.Host {
-		return self, false
+	name := rendezvous.Owner(readerKey, names)
+	i := slices.Index(names, name)
+	if i < 0 {
+		return membership.Member{}, false
+	}
+	return members[i], true
+}
+
+func membersByPlace(members []membership.Member) map[string][]membership.Member {
+	byPlace := map[string][]membership.Member{}
+	for _, m := range members {
+		byPlace[m.Place] = append(byPlace[m.Place], m)
 	}
-	m, ok := f.opts.View.Lookup(owner)
-	return m, ok
+	return byPlace
 }
 
 // readLoop reads a table from the platform while this host is the reader or its copy is stale.
@@ -188,7 +216,7 @@
 		t.listAgainAt = time.Time{}
 	}
 	if changed := t.merge(u, now); len(changed) > 0 {
-		f.push(ctx, t, changed)
+		f.pushToDomain(ctx, t, changed)
 	}
 	return nil
 }
@@ -233,11 +261,11 @@
 	t.failingSince = time.Time{}
 }
 
-// fetchLoop polls the reader, unless this host is the reader, and updates the gauges.
+// fetchLoop polls the source of this host, unless it is the reader, and updates the gauges.
 func (f *Follower) fetchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if reader, other := f.reader(); other {
-			f.fetchFrom(ctx, reader)
+		if source, other := f.source(); other {
+			f.fetchFrom(ctx, source)
 		}
 		f.reportAges(time.Now())
 		sleep.For(ctx, fetchInterval)
