Prefer targets in the place of the requesting host among equals

Change: where two targets are expected to take equally long, and for the first copy of an object, the place of the requesting host comes before load and before rendezvous weight.

--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -229,11 +229,12 @@
 }
 
 // bestTarget returns the free target at which a request is expected to complete first. A target that is due for a probe comes
-// before all others. If the expected times count as equal, the less loaded target is chosen. For an object that no target has
-// cached, rendezvous hashing decides among targets of similar speed, so that objects spread over the targets and keep their
-// target.
+// before all others. If the expected times count as equal, a target in the place of the requesting host is chosen, and otherwise the less
+// loaded one. For an object that no target has cached, the same place and then rendezvous hashing decide among targets of similar speed,
+// so that objects spread over the targets and keep their target.
 func (d *dispatcher) bestTarget(w *waiter, now time.Time) (best *target, expected time.Duration) {
 	restrictions := d.isolationOf(w, now)
+	w.place = d.placeOf(w.from)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) || d.avoids(t, w, now) ||
 			!restrictions.allows(t) || !t.allowsRate(now) {
@@ -254,6 +255,9 @@
 func (d *dispatcher) isBetter(w *waiter, t, best *target, expected, bestExpected time.Duration) bool {
 	if w.req.ObjectHash != 0 && !d.likelyCached(t, w.req.ObjectHash) && !d.likelyCached(best, w.req.ObjectHash) {
 		if limit := time.Duration(preferredTargetFactor * float64(min(expected, bestExpected))); max(expected, bestExpected) <= limit {
+			if near := w.isNear(t); near != w.isNear(best) {
+				return near
+			}
 			return t.rendezvousWeight(w.req.ObjectHash) > best.rendezvousWeight(w.req.ObjectHash)
 		}
 	}
@@ -261,9 +265,21 @@
 	if expected < bestExpected-margin || expected > bestExpected+margin {
 		return expected < bestExpected
 	}
+	if near := w.isNear(t); near != w.isNear(best) {
+		return near
+	}
 	return t.lessLoadedThan(best, w.class)
 }
 
+// placeOf returns the place of a host, or an empty string if the host is unknown.
+func (d *dispatcher) placeOf(h holder) string {
+	m, _ := d.manager.opts.View.Lookup(h.host)
+	return m.Place
+}
+
+// isNear reports whether a target is in the place of the requesting host.
+func (w *waiter) isNear(t *target) bool { return t.place == w.place }
+
 // retryHint returns when a refused request may be retried: when the next slots are expected to be free if it can still meet its
 // objective then, otherwise lateRetryAfter or later.
 func (d *dispatcher) retryHint(w *waiter, now time.Time) time.Duration {
--- a/pkg/permit/queue.go
+++ b/pkg/permit/queue.go
@@ -10,8 +10,10 @@
 
 // waiter is a pending acquire call. It is also the event that submits the call to the dispatcher.
 type waiter struct {
-	req       Request
-	from      holder
+	req  Request
+	from holder
+	// place is the failure domain of the requesting host; empty if it is unknown.
+	place     string
 	deadline  time.Time
 	arrivedAt time.Time
 	class     configv1.RequestClass
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -74,7 +74,7 @@
 	service := ServiceOf(key)
 	for _, c := range targetsOfShard(snap, key, failureDomain) {
 		t := s.target(c.GetName())
-		t.address, t.instance = c.GetAddress(), c.GetInstance()
+		t.address, t.instance, t.place = c.GetAddress(), c.GetInstance(), c.GetPlace()
 		t.slots = int(c.GetSlots())
 		t.applyConfig(c, snap.Service(service).GetColdRequestsPerSecond(), now)
 		t.closed = c.GetState() == configv1.TargetState_TARGET_STATE_DRAINING || drained(c.GetName())
--- a/pkg/permit/target.go
+++ b/pkg/permit/target.go
@@ -10,6 +10,8 @@
 type target struct {
 	name    string
 	address string
+	// place is the failure domain that the target is in, where several share the dispatcher; empty if none do.
+	place string
 	// instance is the instance ID that requests must carry, which the target verifies; empty if it verifies none.
 	instance string
 	slots    int
