Do not believe a response without an ID that may be a copy of an earlier one

Cause: a response without a request ID counted as the response to the request in flight. A target that writes an earlier refusal once more on a kept connection made the caller of a command be told 503 not-run although it ran (325 of 2,243 commands in 15 s, seen by users with real processes); a second copy of an answer without an ID reached the next caller. Change: on a connection on which the target has stated IDs, a response without one is skipped like one with another ID; on a used connection without IDs, a refusal without one ends the attempt as possibly run. The first response on a connection cannot be a copy and counts as before. Ruled out: cut headers and bodies. TestEveryCutResponseIsAnError cuts three responses at every byte and passed before. Figures: TestLateCopyWithoutIDIsNotBelieved fails in all three cases without the change and passes with it. A target that states no IDs and sheds on used connections costs a new connection for each refusal.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -7,7 +7,9 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // maxDrainBytes and drainTimeout limit how much of a discarded response is read so that its connection can be reused, and for how
@@ -17,11 +19,24 @@
 	drainTimeout  = 50 * time.Millisecond
 )
 
-// matchesAttempt stores the metadata of a target's response in a.info and reports whether the response belongs to the attempt.
-// A response without a request ID is taken as a match, because targets need not repeat the ID.
-func (h *Handler) matchesAttempt(a *attempt, resp *http.Response) bool {
+// matchAttempt stores the metadata of a target's response in a.info and tells whether the response belongs to the attempt. Targets need not
+// repeat the request ID.
+func (h *Handler) matchAttempt(a *attempt, resp *http.Response) upstream.Match {
 	a.info, a.responded = h.opts.Dialect.ReadResponse(resp), true
-	return a.info.ID == "" || a.info.ID == a.targetRequestID
+	switch a.info.ID {
+	case "":
+		return upstream.MatchNoID
+	case a.targetRequestID:
+		return upstream.MatchID
+	}
+	return upstream.MatchOther
+}
+
+// note hands on what the target has stated about itself in the response to an attempt.
+func (a *attempt) note() {
+	if a.grant.Note != nil {
+		a.grant.Note(permit.Notice{Leaving: a.info.Leaving, HoldOff: a.info.HoldOff})
+	}
 }
 
 // acceptResponse checks a target's response header and returns the answer, or a failure with the attempt finished.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -27,7 +27,8 @@
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
 		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(),
 		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(),
-		Matches:        func(resp *http.Response) bool { return h.matchesAttempt(a, resp) },
+		Matches:        func(resp *http.Response) upstream.Match { return h.matchAttempt(a, resp) },
+		NotRun:         func(resp *http.Response) bool { return h.opts.Dialect.ReadResponse(resp).NotRun },
 	})
 	a.firstByte = time.Since(a.sent)
 	a.connRequested.Store(true)
@@ -37,6 +38,7 @@
 		h.targets.CloseIdle(a.grant.Address)
 		return nil, h.sendFailed(rq, a, err)
 	}
+	a.note()
 	return h.acceptResponse(rq, a, resp)
 }
 
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -40,8 +40,10 @@
 	writer        *bufio.Writer
 	// reusableUntil is when the connection expires in the pool.
 	reusableUntil time.Time
-	// requestCount is the number of requests that have been sent on the connection.
+	// requestCount is the number of requests that have been sent on the connection. echoesID is set once a response on it has stated the ID
+	// of its request.
 	requestCount int
+	echoesID     bool
 	// stopWatching ends watchContext. It returns false if the context has ended before.
 	stopWatching func() bool
 	closed       atomic.Bool
@@ -111,7 +113,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if o.Matches == nil || o.Matches(resp) {
+		match := o.match(resp)
+		if match == MatchNoID && c.isAmbiguous(resp, o) {
+			if !c.echoesID {
+				return nil, errors.New("a refusal without an ID may be a copy of an earlier one")
+			}
+			match = MatchOther
+		}
+		c.echoesID = c.echoesID || match == MatchID
+		if match != MatchOther {
 			c.reusableUntil = time.Now().Add(keepAliveTimeout(resp.Header))
 			b := &responseBody{ReadCloser: resp.Body, conn: c, reusable: c.reusable(resp)}
 			if resp.Body == http.NoBody {
@@ -132,6 +142,12 @@
 	return nil, errors.Newf("%d responses belong to other requests", maxMismatched)
 }
 
+// isAmbiguous reports whether a response without an ID may be a late copy of an earlier response on the connection: a target that has
+// stated IDs on it goes on doing so, and a refusal that could belong to either request must not be believed.
+func (c *conn) isAmbiguous(resp *http.Response, o Options) bool {
+	return c.requestCount > 1 && (c.echoesID || o.NotRun != nil && o.NotRun(resp))
+}
+
 // writeRequest writes the request. A request with a body that is larger than the write buffer or of unknown length is written in
 // a goroutine, because a target may respond before it has read the body.
 func (c *conn) writeRequest(req *http.Request) error {
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -48,12 +48,33 @@
 	// DedicatedConn selects a new connection for this request, which is closed afterwards.
 	DedicatedConn bool
 	// Matches reports whether a response belongs to the request. It must not read the body. Nil accepts any response.
-	Matches func(*http.Response) bool
+	Matches func(*http.Response) Match
+	// NotRun reports whether a response states that the target did not run the request. Nil means that none does.
+	NotRun func(*http.Response) bool
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
 	// right one follows it.
 	SkipMismatched bool
 }
 
+// Match is whether a response belongs to a request.
+type Match int
+
+const (
+	// MatchID means that the response states the ID of the request.
+	MatchID Match = iota
+	// MatchNoID means that the response states no ID.
+	MatchNoID
+	// MatchOther means that the response states another ID.
+	MatchOther
+)
+
+func (o Options) match(resp *http.Response) Match {
+	if o.Matches == nil {
+		return MatchNoID
+	}
+	return o.Matches(resp)
+}
+
 // Client sends requests to targets and pools their connections.
 type Client struct {
 	dial DialFunc
--- a/pkg/entry/upstream/upstream_test.go
+++ b/pkg/entry/upstream/upstream_test.go
@@ -61,7 +61,16 @@
 
 func roundTrip(t *testing.T, c *Client, o Options, id string) (string, error) {
 	t.Helper()
-	o.Matches = func(resp *http.Response) bool { return resp.Header.Get("Id") == id }
+	o.Matches = func(resp *http.Response) Match {
+		switch resp.Header.Get("Id") {
+		case "":
+			return MatchNoID
+		case id:
+			return MatchID
+		}
+		return MatchOther
+	}
+	o.NotRun = func(resp *http.Response) bool { return resp.Header.Get("Not-Run") != "" }
 	resp, err := c.RoundTrip(request(t.Context(), id), o)
 	if err != nil {
 		return "", err
@@ -245,3 +254,62 @@
 		is.Equal(keepAliveTimeout(http.Header{"Keep-Alive": {value}}), want)
 	}
 }
+
+// Guards against a late copy of an earlier response without an ID that is taken for the response to the request in flight: a second copy of
+// an answer reached the next caller, and a copy of a refusal told the caller of a command that ran that it had not run.
+func TestLateCopyWithoutIDIsNotBelieved(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	const copied = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	for _, c := range []struct {
+		name, first, stale string
+		fails              bool
+	}{
+		{"refusal after an answer with an ID", answer("a", "one"), refusal, false},
+		{"answer after an answer with an ID", answer("a", "one"), copied, false},
+		{"refusal after an answer without an ID", copied, refusal, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(conn, c.first)
+				second, _ := http.ReadRequest(r)
+				_, _ = io.WriteString(conn, c.stale+answer(second.Header.Get("Id"), "two"))
+			})
+			client := newClient()
+			got, err := roundTrip(t, client, tg.options(), "a")
+			is.NoErr(err)
+			is.Equal(got, "one")
+			got, err = roundTrip(t, client, tg.options(), "b")
+			if c.fails {
+				is.True(err != nil && !errors.Is(err, ErrNotSent)) // the request may have run
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got, "two")
+		})
+	}
+}
+
+// Guards against a response that breaks off anywhere in its header or its body and is taken for a complete one.
+func TestEveryCutResponseIsAnError(t *testing.T) {
+	for _, whole := range []string{
+		answer("a", "the whole body"),
+		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		var length atomic.Int32
+		tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(conn, whole[:length.Load()])
+			_ = conn.Close()
+		})
+		client := newClient()
+		for n := range len(whole) {
+			length.Store(int32(n))
+			if got, err := roundTrip(t, client, tg.options(), "a"); err == nil {
+				t.Errorf("the first %d of %d bytes give %q", n, len(whole), got)
+			}
+		}
+	}
+}
