Let small regions keep more slots in reserve before they redirect requests

Cause: a region served its own callers up to 90% of its slots before others helped. Change: by the square-root rule of staffing, n slots serve n - 1.2 sqrt(n) on average before requests are redirected; under full load all regions get the same utilization as before. Also tried and taken back: a successor gets the predecessor's estimates and cached objects with its recover call.

--- a/pkg/permit/balance.go
+++ b/pkg/permit/balance.go
@@ -10,14 +10,15 @@
 // Load balancing between failure domains.
 //
 // Each dispatcher measures the demand of the callers of its failure domain, in slots, and receives the demand and the slots of
-// the other failure domains. It redirects a share of its requests so that all failure domains reach the same utilization. The
+// the other failure domains. It redirects a share of its requests if its own slots do not suffice for them (capacities). The
 // shares change slowly, so that the caches of the targets can adapt. The hash of a request's object selects the failure domain,
 // so that each object stays in one of them; a deficit counter for each failure domain corrects the selection, so that the shares
 // hold within a few requests.
 
 const (
-	// maxLocalUtilization is the utilization up to which a failure domain serves all of its own requests.
-	maxLocalUtilization = 0.9
+	// spareFactor is the number of spare slots of a failure domain for the square root of its slots. With 1.2, an arriving request
+	// finds a free slot in about nine of ten cases.
+	spareFactor = 1.2
 	// balanceInterval is the shortest time between two updates of the shares.
 	balanceInterval = 100 * time.Millisecond
 	// arrivalRateWeight is the weight of one balanceInterval in the moving average of the arrival rate.
--- a/pkg/permit/shares.go
+++ b/pkg/permit/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -17,35 +18,19 @@
 	bias float64
 }
 
-// balancedShares returns the shares of the requests of failure domain own at which all failure domains have the same
-// utilization.
+// balancedShares returns the shares of the requests of failure domain own: it serves as many itself as capacities allows, and the
+// others serve the rest in proportion to the room that their own requests leave.
 func balancedShares(own string, loads []DomainLoad) []share {
 	slices.SortFunc(loads, func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
-	var slots, demand float64
-	for _, l := range loads {
-		slots += l.Slots
-		demand += l.Demand
-	}
-	if demand == 0 {
-		// The demand is unknown: assume that it is the same everywhere and needs all slots.
-		for i := range loads {
-			loads[i].Demand = max(slots, 1) / float64(len(loads))
-		}
-		demand = max(slots, 1)
-	}
-	level := maxLocalUtilization
-	if slots > 0 {
-		level = max(level, demand/slots)
-	}
-	var room float64
-	excess, ownDemand := 0.0, 0.0
-	for _, l := range loads {
+	assumeDemand(loads)
+	capacity := capacities(loads)
+	var room, excess, ownDemand float64
+	for i, l := range loads {
 		if l.Domain == own {
-			ownDemand = l.Demand
-			excess = max(0, l.Demand-l.Slots*level)
+			ownDemand, excess = l.Demand, max(0, l.Demand-capacity[i])
 			continue
 		}
-		room += max(0, l.Slots*level-l.Demand)
+		room += max(0, capacity[i]-l.Demand)
 	}
 	away := 0.0
 	if ownDemand > 0 && room > 0 {
@@ -58,12 +43,55 @@
 		case l.Domain == own:
 			shares[i].fraction = 1 - away
 		case room > 0:
-			shares[i].fraction = away * max(0, l.Slots*level-l.Demand) / room
+			shares[i].fraction = away * max(0, capacity[i]-l.Demand) / room
 		}
 	}
 	return shares
 }
 
+// assumeDemand sets an unknown demand: it is assumed to be the same everywhere and to need all slots.
+func assumeDemand(loads []DomainLoad) {
+	slots, demand := totalLoad(loads)
+	if demand > 0 {
+		return
+	}
+	for i := range loads {
+		loads[i].Demand = max(slots, 1) / float64(len(loads))
+	}
+}
+
+func totalLoad(loads []DomainLoad) (slots, demand float64) {
+	for _, l := range loads {
+		slots += l.Slots
+		demand += l.Demand
+	}
+	return slots, demand
+}
+
+// capacities returns the demand, in slots, up to which each failure domain serves its own callers. While the demand of all of them fits,
+// this is the demand at which requests seldom wait. If it needs all slots or more, all failure domains get the same utilization.
+func capacities(loads []DomainLoad) []float64 {
+	slots, demand := totalLoad(loads)
+	list := make([]float64, len(loads))
+	unhurried := 0.0
+	for i, l := range loads {
+		list[i] = unhurriedCapacity(l.Slots)
+		unhurried += list[i]
+	}
+	if demand <= unhurried || slots == 0 {
+		return list
+	}
+	pressure := min(1, (demand-unhurried)/max(slots-unhurried, 1e-9))
+	for i, l := range loads {
+		list[i] += pressure * (l.Slots*max(1, demand/slots) - list[i])
+	}
+	return list
+}
+
+// unhurriedCapacity returns the number of slots that can be in use on average so that an arriving request seldom finds all of them occupied.
+// By the square-root rule of staffing, the spare slots grow with the root of the slots: few slots need a larger part in reserve.
+func unhurriedCapacity(slots float64) float64 { return max(0, slots-spareFactor*math.Sqrt(slots)) }
+
 // limitShift returns the shares in from, moved towards those in to by at most maxShift, a fraction of all requests. A failure
 // domain that is missing in to loses its share at once.
 func limitShift(from, to []share, maxShift float64) []share {
