Forward requests to three hosts of each other region

Cause: a host forwarded each redirected request to a random host of the other region and kept a session to each of them, pinged every 500 ms for five minutes: hosts times hosts sessions. Change: a host forwards to three hosts of each region, by rendezvous hashing weighted by processor time. Ring neighbours are found without building lists.

--- a/pkg/membership/ring.go
+++ b/pkg/membership/ring.go
@@ -35,12 +35,26 @@
 	if at < 0 {
 		return nil
 	}
-	next := slices.Concat(r.hosts[at+1:], r.hosts[:at])
-	if len(r.hosts) <= meshSize {
-		return next
+	return r.successorsAt(at)
+}
+
+// successorsAt returns the successors of the host at a position.
+func (r ring) successorsAt(at int) []string {
+	size := len(r.hosts)
+	if size <= meshSize {
+		return slices.Concat(r.hosts[at+1:], r.hosts[:at])
+	}
+	place := r.places[r.hosts[at]]
+	near, far := make([]string, 0, ringSuccessors), make([]string, 0, ringSuccessors)
+	for i := 1; i < size && (len(near) < ringSuccessors || len(far) < 1); i++ {
+		next := r.hosts[(at+i)%size]
+		switch isNear := r.places[next] == place; {
+		case isNear && len(near) < ringSuccessors:
+			near = append(near, next)
+		case !isNear && len(far) < ringSuccessors:
+			far = append(far, next)
+		}
 	}
-	isNear := func(h string) bool { return r.places[h] == r.places[host] }
-	near, far := partition(next, isNear)
 	near = near[:min(len(near), max(ringSuccessors-1, ringSuccessors-len(far)))]
 	return append(near, far[:min(len(far), ringSuccessors-len(near))]...)
 }
@@ -48,22 +62,10 @@
 // predecessors returns the hosts from which a host receives heartbeats.
 func (r ring) predecessors(host string) []string {
 	var list []string
-	for _, h := range r.hosts {
-		if slices.Contains(r.successors(h), host) {
+	for i, h := range r.hosts {
+		if slices.Contains(r.successorsAt(i), host) {
 			list = append(list, h)
 		}
 	}
 	return list
 }
-
-// partition returns the elements of a list for which a predicate holds, and the others.
-func partition(list []string, holds func(string) bool) (yes, no []string) {
-	for _, s := range list {
-		if holds(s) {
-			yes = append(yes, s)
-		} else {
-			no = append(no, s)
-		}
-	}
-	return yes, no
-}
--- a/pkg/steering/steerer.go
+++ b/pkg/steering/steerer.go
@@ -8,13 +8,14 @@
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
+	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 )
 
 // AdmitFunc consumes budget from the cap on shifts for one request of a service that is sent to another region. It returns an
 // error if the cap has no budget left.
 type AdmitFunc func(ctx context.Context, service, toRegion string) error
 
-// Steerer resolves the planner's candidates to places. For each remote failure domain it picks one of its hosts at random.
+// Steerer resolves the planner's candidates to places. For each remote failure domain it picks one of a few of its hosts at random.
 type Steerer struct {
 	planner *Planner
 	view    membership.View
@@ -52,7 +53,7 @@
 		return entry.Place{}, false
 	}
 	place := entry.Place{
-		FailureDomain: c.FailureDomain, Host: hosts[rnd.IntN(len(hosts))].Address(), Shifted: c.Shifted,
+		FailureDomain: c.FailureDomain, Host: s.pickHost(hosts, rnd.IntN).Address(), Shifted: c.Shifted,
 	}
 	if c.Shifted && s.admit != nil {
 		place.Admit = func(ctx context.Context) error { return s.admit(ctx, service, c.Region) }
@@ -60,6 +61,25 @@
 	return place, true
 }
 
+// forwardingFanout is the number of hosts of one failure domain to which a host forwards requests. Each pair of hosts needs a session that
+// is kept alive, so that sessions would grow with the square of the hosts otherwise.
+const forwardingFanout = 3
+
+// pickHost returns a random one of the forwardingFanout hosts that this host prefers. Rendezvous hashing, weighted by processor time, spreads
+// the preferences of different hosts.
+func (s *Steerer) pickHost(members []membership.Member, intN func(int) int) membership.Member {
+	if len(members) <= forwardingFanout {
+		return members[intN(len(members))]
+	}
+	nodes := make([]rendezvous.Node, len(members))
+	byName := make(map[string]membership.Member, len(members))
+	for i, m := range members {
+		nodes[i] = rendezvous.Node{Name: m.Host, Weight: float64(max(m.Capacity, 1))}
+		byName[m.Host] = m
+	}
+	return byName[rendezvous.RankWeighted(s.view.Self().Host, nodes)[intN(forwardingFanout)]]
+}
+
 // Find returns a random host in failureDomain, or in any remote failure domain if the name is empty. If homes is not empty,
 // only hosts in those regions qualify. Find returns false if no host qualifies.
 func (s *Steerer) Find(failureDomain string, homes []string) (entry.Place, bool) {
@@ -74,7 +94,7 @@
 	if members = preferUsable(members); len(members) == 0 {
 		return entry.Place{}, false
 	}
-	host := members[rand.IntN(len(members))]
+	host := s.pickHost(members, rand.IntN)
 	return entry.Place{FailureDomain: host.FailureDomain, Host: host.Address(), Shifted: host.Region != s.planner.region}, true
 }
 
