Test whether a host reaches targets by an exchange with an answer

Cause: the detection of isolated hosts only opened connections. Change: the probe of a target sends a request (its health check, OPTIONS * without one) and needs an answer. Three different targets in a row that leave requests without an answer start a check, which so far only a refused connection did. Ruled out: connecting alone shows neither case. Figures: with probes that only connect, TestConnectionsThatLeadNowhereAreIsolation fails in both cases. A healthy host clears the count with each answer and sends no more probes than before.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,6 +48,9 @@
 	Isolated() bool
 	// ReachesTargets reports whether connections to targets can be opened, directly or through another host.
 	ReachesTargets() bool
+	// Observe records whether the target at an address has answered a request on a connection from this host. It may take some time, until
+	// ctx ends, to find out whether this host is isolated.
+	Observe(ctx context.Context, address string, answered bool)
 }
 
 // directPaths are the paths of a host that does not detect isolation.
@@ -56,6 +59,8 @@
 func (directPaths) Isolated() bool       { return false }
 func (directPaths) ReachesTargets() bool { return true }
 
+func (directPaths) Observe(context.Context, string, bool) {}
+
 // Limits are the limits of requests. A zero field selects its default.
 type Limits struct {
 	// MaxHeaderBytes limits the header of a request. http.Server.MaxHeaderBytes must be larger, so that this package refuses the
--- a/pkg/entry/loss_test.go
+++ b/pkg/entry/loss_test.go
@@ -20,7 +20,9 @@
 // fixedPaths are paths in a state that a test sets.
 type fixedPaths struct{ isolated, reaches bool }
 
-func (p *fixedPaths) Isolated() bool       { return p.isolated }
+func (p *fixedPaths) Isolated() bool                        { return p.isolated }
+func (p *fixedPaths) Observe(context.Context, string, bool) {}
+
 func (p *fixedPaths) ReachesTargets() bool { return p.reaches }
 
 // silentConn is a connection whose reads time out, as the operating system ends them on a silent connection.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -33,6 +33,7 @@
 	a.firstByte = time.Since(a.sent)
 	a.connRequested.Store(true)
 	a.connected.Store(!errors.Is(err, upstream.ErrNotSent))
+	h.observePath(rq, a, err)
 	if err != nil {
 		// The other idle connections to this target may be broken as well.
 		h.targets.CloseIdle(a.grant.Address)
@@ -42,6 +43,17 @@
 	return h.acceptResponse(rq, a, resp)
 }
 
+// observePath records whether the target of an attempt has answered. An attempt that did not reach the target, or that the caller or this
+// host has ended, tells nothing.
+func (h *Handler) observePath(rq *request, a *attempt, err error) {
+	switch {
+	case err == nil:
+		h.opts.Paths.Observe(rq.ctx, a.grant.Address, true)
+	case a.mayHaveBeenSent() && !errors.Is(a.ctx.Err(), context.Canceled) && rq.body.readFailure() == nil:
+		h.opts.Paths.Observe(rq.ctx, a.grant.Address, false)
+	}
+}
+
 // buildRequest returns the request of an attempt, with the attempt's context and its metadata in the header.
 func (h *Handler) buildRequest(rq *request, a *attempt) (*http.Request, *failure) {
 	if f := contextFailure(rq); f != nil {
--- a/pkg/frontend/targets.go
+++ b/pkg/frontend/targets.go
@@ -30,7 +30,9 @@
 	for _, o := range snapshot.List(config.KindTarget) {
 		t := o.GetTarget()
 		if t.GetFailureDomain() == d.domain {
-			fresh.targets = append(fresh.targets, tunnel.Target{Address: t.GetAddress(), Place: cmp.Or(t.GetPlace(), d.domain)})
+			fresh.targets = append(fresh.targets, tunnel.Target{
+				Address: t.GetAddress(), Place: cmp.Or(t.GetPlace(), d.domain), HealthPath: snapshot.Service(t.GetService()).GetHealthPath(),
+			})
 		}
 	}
 	d.latest.Store(fresh)
--- a/pkg/tunnel/isolation.go
+++ b/pkg/tunnel/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +22,9 @@
 	probeTimeout = 600 * time.Millisecond
 	// checkValid is the time for which the result of a check is used again.
 	checkValid = 100 * time.Millisecond
+	// unansweredTargets is the number of different targets that must leave requests without an answer, with no answer of another target in
+	// between, for a check of the isolation.
+	unansweredTargets = 3
 	// watchInterval is the time between two probes of an isolated host, and probesToRecover the number of consecutive successful ones
 	// that end the isolation. A single success may come from a link that loses most packets.
 	watchInterval   = 200 * time.Millisecond
@@ -28,7 +32,7 @@
 )
 
 // isolation detects whether this host reaches no target. One target that accepts no connection may be down. If none of several others
-// accepts one either, this host's own links are the likelier cause.
+// answers a request either, this host's own links are the likelier cause.
 type isolation struct {
 	opts    Options
 	metrics metrics
@@ -43,10 +47,14 @@
 	// checking is closed when the check in progress ends; nil if there is none. lastCheck is when the last one ended.
 	checking  chan struct{}
 	lastCheck time.Time
+	// unanswered holds the addresses of the targets that have not answered since the last answer of any target. anyUnanswered is set while
+	// there are some.
+	unanswered    map[string]bool
+	anyUnanswered atomic.Bool
 }
 
 func newIsolation(opts Options, m metrics) *isolation {
-	i := &isolation{opts: opts, metrics: m}
+	i := &isolation{opts: opts, metrics: m, unanswered: map[string]bool{}}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
@@ -89,7 +97,7 @@
 // probeOthers probes other targets than the failed one. Without any, nothing can be concluded.
 func (i *isolation) probeOthers(failed string) {
 	controls := i.controls(failed)
-	isolated := len(controls) > 0 && !i.anyAccepts(controls) && i.ctx.Err() == nil
+	isolated := len(controls) > 0 && !i.anyAnswers(controls) && i.ctx.Err() == nil
 	if isolated {
 		i.set(true)
 	}
@@ -109,12 +117,13 @@
 			return
 		}
 		targets := i.opts.Targets()
-		if len(targets) == 0 || i.anyAccepts(targets[rand.IntN(len(targets)):][:1]) {
+		if len(targets) == 0 || i.anyAnswers(targets[rand.IntN(len(targets)):][:1]) {
 			successes++
 		} else {
 			successes = 0
 		}
 	}
+	i.clearUnanswered()
 	i.set(false)
 }
 
@@ -136,15 +145,15 @@
 	return list[:min(controlTargets, len(list))]
 }
 
-// anyAccepts reports whether any of the targets accepts a connection. It returns at the first success.
-func (i *isolation) anyAccepts(targets []Target) bool {
+// anyAnswers reports whether any of the targets answers a request. It returns at the first success.
+func (i *isolation) anyAnswers(targets []Target) bool {
 	ctx, cancel := context.WithTimeout(i.ctx, probeTimeout)
 	results := make(chan bool, len(targets))
 	var probes conc.WaitGroup
 	defer probes.Wait()
 	defer cancel()
 	for _, t := range targets {
-		probes.Go(func() { results <- i.accepts(ctx, t.Address) })
+		probes.Go(func() { results <- i.answers(ctx, t) })
 	}
 	for range targets {
 		if <-results {
@@ -154,11 +163,41 @@
 	return false
 }
 
-func (i *isolation) accepts(ctx context.Context, address string) bool {
-	conn, err := i.opts.Dial(ctx, "tcp", address)
+// answers reports whether a target accepts a connection and answers a request on it, with any status.
+func (i *isolation) answers(ctx context.Context, t Target) bool {
+	conn, err := i.opts.Dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	request := "OPTIONS *"
+	if t.HealthPath != "" {
+		request = "GET " + t.HealthPath
+	}
+	if _, err := io.WriteString(conn, request+" HTTP/1.1\r\nHost: "+t.Address+"\r\nConnection: close\r\n\r\n"); err != nil {
+		return false
+	}
+	n, _ := conn.Read(make([]byte, 1))
+	return n > 0
+}
+
+// addUnanswered adds a target that has not answered and returns how many have not since the last answer.
+func (i *isolation) addUnanswered(address string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.unanswered[address] = true
+	i.anyUnanswered.Store(true)
+	return len(i.unanswered)
+}
+
+func (i *isolation) clearUnanswered() {
+	if !i.anyUnanswered.Load() {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	clear(i.unanswered)
+	i.anyUnanswered.Store(false)
 }
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -36,6 +36,8 @@
 	Address string
 	// Place is the failure domain in which the target physically is.
 	Place string
+	// HealthPath is the path of its health check; empty means OPTIONS *.
+	HealthPath string
 }
 
 // Options are the dependencies of a Dialer. Scope may be nil.
@@ -87,6 +89,18 @@
 // Isolated reports whether this host reaches no target by itself.
 func (d *Dialer) Isolated() bool { return d.isolation.active.Load() }
 
+// Observe records whether a target has answered a request on a connection from this host. After unansweredTargets targets in a row that have
+// not, it checks whether this host is isolated, until ctx ends: something on the way may accept connections and pass nothing on.
+func (d *Dialer) Observe(ctx context.Context, address string, answered bool) {
+	if answered {
+		d.isolation.clearUnanswered()
+		return
+	}
+	if !d.Isolated() && d.isolation.addUnanswered(address) >= unansweredTargets {
+		d.isolation.check(ctx, address)
+	}
+}
+
 // ReachesTargets reports whether connections to targets can be opened, directly or through a gateway.
 func (d *Dialer) ReachesTargets() bool { return !d.Isolated() || len(d.gateways()) > 0 }
 
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -297,3 +297,53 @@
 	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), int(keepAliveIdle.Seconds()))
 	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL), int(keepAliveInterval.Seconds()))
 }
+
+// Guards against a host that does not notice that it reaches no target because something on the way accepts its connections: it failed the
+// requests of its callers and reported that targets break connections.
+func TestConnectionsThatLeadNowhereAreIsolation(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn){
+		"reset":     func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0); _ = conn.Close() },
+		"no answer": func(net.Conn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDomain(t, 4, echo, "a", "b")
+			middle := newDomain(t, 1, serve).address()
+			redirected := New(Options{
+				Forwarder: d, Members: view{d, "a"}, Targets: d.list, Place: "a",
+				Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+					return (&net.Dialer{}).DialContext(ctx, network, middle)
+				},
+			})
+			t.Cleanup(redirected.Close)
+			targets := d.list()
+			for range 3 { // one target may be slow or restart
+				redirected.Observe(t.Context(), targets[0].Address, false)
+			}
+			redirected.Observe(t.Context(), targets[1].Address, false)
+			redirected.Observe(t.Context(), targets[2].Address, true)
+			redirected.Observe(t.Context(), targets[2].Address, false)
+			is.True(!redirected.Isolated())
+			redirected.Observe(t.Context(), targets[0].Address, false)
+			redirected.Observe(t.Context(), targets[1].Address, false)
+			is.True(redirected.Isolated())
+			conn, err := redirected.DialContext(t.Context(), "tcp", targets[0].Address)
+			is.NoErr(err)
+			_, err = conn.Write([]byte("tides"))
+			is.NoErr(err)
+			_, err = io.ReadFull(conn, make([]byte, 5))
+			is.NoErr(err)
+			is.NoErr(conn.Close())
+		})
+	}
+}
+
+// Guards against a host that counts as isolated because targets leave requests without an answer that answer others.
+func TestUnansweredRequestsAloneAreNoIsolation(t *testing.T) {
+	is := is.New(t)
+	d := newDomain(t, 4, echo, "a", "b")
+	for _, target := range d.list() {
+		d.hosts["a"].Observe(t.Context(), target.Address, false)
+	}
+	is.True(!d.hosts["a"].Isolated())
+}
