Move the balance between regions to a package of its own

Change: pkg/permit/balance gets what a dispatcher observes and returns a failure domain; pkg/permit/redirect.go observes. No decision changes. Conclusion: a newcomer finds the policy without the transport.

--- a/pkg/permit/shares.go
+++ b/pkg/permit/balance/shares.go
@@ -1,4 +1,4 @@
-package permit
+package balance
 
 import (
 	"cmp"
@@ -20,8 +20,8 @@
 
 // balancedShares returns the shares of the requests of failure domain own: it serves as many itself as capacities allows, and the
 // others serve the rest in proportion to the room that their own requests leave.
-func balancedShares(own string, loads []DomainLoad) []share {
-	slices.SortFunc(loads, func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
+func balancedShares(own string, loads []Load) []share {
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Domain, b.Domain) })
 	assumeDemand(loads)
 	capacity := capacities(loads)
 	var room, excess, ownDemand float64
@@ -50,7 +50,7 @@
 }
 
 // assumeDemand sets an unknown demand: it is assumed to be the same everywhere and to need all slots.
-func assumeDemand(loads []DomainLoad) {
+func assumeDemand(loads []Load) {
 	slots, demand := totalLoad(loads)
 	if demand > 0 {
 		return
@@ -60,7 +60,7 @@
 	}
 }
 
-func totalLoad(loads []DomainLoad) (slots, demand float64) {
+func totalLoad(loads []Load) (slots, demand float64) {
 	for _, l := range loads {
 		slots += l.Slots
 		demand += l.Demand
@@ -70,7 +70,7 @@
 
 // capacities returns the demand, in slots, up to which each failure domain serves its own callers. While the demand of all of them fits,
 // this is the demand at which requests seldom wait. If it needs all slots or more, all failure domains get the same utilization.
-func capacities(loads []DomainLoad) []float64 {
+func capacities(loads []Load) []float64 {
 	slots, demand := totalLoad(loads)
 	list := make([]float64, len(loads))
 	unhurried := 0.0
@@ -131,12 +131,12 @@
 // pickShare selects the share whose hash range contains the object and charges the request to it. It selects the share with the
 // largest deficit instead if the request has no object, or if a deficit or surplus exceeds maxDeficit. It returns nil if there
 // are no shares.
-func (b *balancer) pickShare(object uint64) *share {
+func (b *Balancer) pickShare(object uint64) *share {
 	if len(b.shares) == 0 {
 		return nil
 	}
 	hashed, neediest := (*share)(nil), &b.shares[0]
-	position, sum := float64(mixHash(object)>>11)/(1<<53)*b.totalSpan(), 0.0
+	position, sum := float64(MixHash(object)>>11)/(1<<53)*b.totalSpan(), 0.0
 	for i := range b.shares {
 		s := &b.shares[i]
 		s.deficit += s.fraction
@@ -158,7 +158,7 @@
 }
 
 // totalSpan returns the sum of the widths of all hash ranges.
-func (b *balancer) totalSpan() float64 {
+func (b *Balancer) totalSpan() float64 {
 	sum := 0.0
 	for _, s := range b.shares {
 		sum += max(0, s.fraction+s.bias)
@@ -166,9 +166,9 @@
 	return sum
 }
 
-// mixHash mixes all bits of an object's hash. The same hash selects the target within a failure domain, so that without mixing
+// MixHash mixes all bits of an object's hash. The same hash selects the target within a failure domain, so that without mixing
 // the two selections would be correlated.
-func mixHash(object uint64) uint64 {
+func MixHash(object uint64) uint64 {
 	x := object ^ object>>31
 	x *= 0xbf58476d1ce4e5b9
 	return x ^ x>>27
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
 )
 
 const (
@@ -59,7 +60,7 @@
 	// serviceTimes holds the estimated service times by route.
 	serviceTimes map[string]*serviceTime
 	cacheModel   cacheModel
-	balance      balancer
+	balance      *balance.Balancer
 	classifier   classifier
 	latency      latency
 	retryBudget  tokenBucket
@@ -104,7 +105,9 @@
 		recentRefusals: recentRefusals{refusedAt: map[uint32]time.Time{}},
 		serviceTimes:   map[string]*serviceTime{}, cacheModel: newCacheModel(),
 		metrics: newDispatcherMetrics(m.scope, service),
-		balance: balancer{ownDomain: m.opts.FailureDomain, region: m.self.Region},
+		balance: balance.New(balance.Options{
+			Domain: m.opts.FailureDomain, Region: m.self.Region, ShiftShare: m.opts.ShiftShare, ShiftWindow: m.opts.ShiftWindow,
+		}),
 	}
 }
 
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -39,7 +39,7 @@
 		w.result <- d.refused(w, r, now)
 		return
 	}
-	if domain := d.balance.chooseDomain(d, w, now); domain != "" {
+	if domain := d.chooseDomain(w, now); domain != "" {
 		w.result <- answer{redirectTo: domain}
 		return
 	}
--- /dev/null
+++ b/pkg/permit/redirect.go
@@ -0,0 +1,57 @@
+package permit
+
+import (
+	"time"
+
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
+)
+
+// DomainLoad is the reported load of a service in another failure domain.
+type DomainLoad = balance.Load
+
+// chooseDomain returns the failure domain to which a request is redirected, or an empty string if it is served in this one.
+func (d *dispatcher) chooseDomain(w *waiter, now time.Time) string {
+	if !d.balancingEnabled() || w.req.Forwarded || w.req.Attempt > 0 {
+		return ""
+	}
+	d.balance.CountArrival()
+	if !w.req.FollowsRedirects {
+		return ""
+	}
+	d.balance.Update(now, d.observeLoads)
+	return d.balance.Choose(balance.Request{Object: w.req.ObjectHash, HomeRegions: w.req.HomeRegions})
+}
+
+// observeLoads returns the slots of this failure domain and the loads of the others.
+func (d *dispatcher) observeLoads() balance.Observation {
+	_, slots := d.slots.totals()
+	o := balance.Observation{Slots: slots, HoldTime: d.meanHoldTime[classShort]}
+	if d.manager.opts.DomainLoads != nil {
+		o.Others = d.otherDomainLoads()
+	}
+	return o
+}
+
+// otherDomainLoads returns the loads of the other failure domains, divided by the number of shards of this one: each shard
+// balances its own part of the requests.
+func (d *dispatcher) otherDomainLoads() []DomainLoad {
+	service := ServiceOf(d.service)
+	loads := d.manager.opts.DomainLoads(service)
+	shards := float64(shardCount(len(d.snap.Targets(service, d.manager.opts.FailureDomain))))
+	for i := range loads {
+		loads[i].Slots /= shards
+		loads[i].Demand /= shards
+	}
+	return loads
+}
+
+// balancingEnabled reports whether the service's policy enables balancing between regions.
+func (d *dispatcher) balancingEnabled() bool {
+	return d.snap.Policy(ServiceOf(d.service)).GetBalanceRegions()
+}
+
+// redirectResponse tells the caller of an acquire call where its request goes.
+func redirectResponse(domain string) *peerv1.AcquireResponse {
+	return &peerv1.AcquireResponse{Result: &peerv1.AcquireResponse_RedirectTo{RedirectTo: domain}}
+}
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -117,12 +117,12 @@
 type headroomQuery struct{ reply chan *peerv1.ServiceHeadroom }
 
 func (q headroomQuery) apply(d *dispatcher, now time.Time) {
-	d.balance.update(d, now)
+	d.balance.Update(now, d.observeLoads)
 	free, total := d.slots.totals()
 	q.reply <- &peerv1.ServiceHeadroom{
 		Service: d.service, FreeSlots: uint32(free), TotalSlots: uint32(total),
 		QueueDelayMs: ceilMilliseconds(d.queueDelay(classShort, d.waitingCount(classShort))),
-		DemandSlots:  float32(d.balance.demand(d)),
+		DemandSlots:  float32(d.balance.Demand(d.meanHoldTime[classShort])),
 	}
 }
 
--- a/pkg/permit/shard.go
+++ b/pkg/permit/shard.go
@@ -12,6 +12,7 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
 	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 )
 
@@ -91,7 +92,7 @@
 	case req.ObjectHash == 0:
 		return shardKey(req.Service, rand.IntN(count))
 	}
-	return shardKey(req.Service, int(mixHash(req.ObjectHash*0x9e3779b97f4a7c15)%uint64(count)))
+	return shardKey(req.Service, int(balance.MixHash(req.ObjectHash*0x9e3779b97f4a7c15)%uint64(count)))
 }
 
 // targetsOfShard returns the targets that belong to the dispatcher with a key.
