Move the estimates of service times and caches to a package of their own

Change: pkg/permit/placement holds the model of a service (times by route, cache), the recent objects and the speed of a target; pkg/permit/estimate.go asks it. No decision changes; two tests moved with it.

--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -40,17 +40,6 @@
 	is.Equal(awaited.awaitingWaiters, 0)
 }
 
-// Guards against one request that ends at once, for example with an error page, and makes its target look much faster than it is.
-func TestOneFastAnswerCountsLittle(t *testing.T) {
-	is := is.New(t)
-	now := time.Now()
-	var fast, fastest speed
-	fast.observe(1.0/maxResidual, now)
-	fastest.observe(1.0/1000, now)
-	is.Equal(fastest.currentResidual(now), fast.currentResidual(now))
-	is.True(fast.currentResidual(now) > 0.8)
-}
-
 // Guards against a host that never ends its stop: a dispatcher that is started while the manager closes does not run, and nothing may
 // wait for its end.
 func TestNoDispatcherStartsAfterClose(t *testing.T) {
--- a/pkg/permit/cold.go
+++ b/pkg/permit/cold.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/placement"
 )
 
 // coldBurst is the capacity of the token bucket that limits the requests to a cold target. A new dispatcher starts with an empty
@@ -21,7 +22,7 @@
 	}
 	if previous := t.config; previous.GetStartedUnixMs() != c.GetStartedUnixMs() {
 		// The target was restarted: the estimates for the previous process do not apply.
-		t.recentObjects, t.speed, t.rateLimit = nil, speed{}, rateBucket{}
+		t.recentObjects, t.speed, t.rateLimit = nil, placement.Speed{}, rateBucket{}
 		t.health.down, t.leaving = false, false
 	}
 	t.config = c
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -8,6 +8,7 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/placement"
 )
 
 const (
@@ -57,14 +58,13 @@
 	// objectiveWaiters holds the waiting requests with a latency objective, sorted by priority and then by arrival.
 	objectiveWaiters []*waiter
 	recentRefusals   recentRefusals
-	// serviceTimes holds the estimated service times by route.
-	serviceTimes map[string]*serviceTime
-	cacheModel   cacheModel
-	balance      *balance.Balancer
-	classifier   classifier
-	latency      latency
-	retryBudget  tokenBucket
-	lossLog      *logging.Limiter
+	// model estimates how long requests take at the targets.
+	model       *placement.Model
+	balance     *balance.Balancer
+	classifier  classifier
+	latency     latency
+	retryBudget tokenBucket
+	lossLog     *logging.Limiter
 	// slowSince is when the service as a whole became slow; zero if it is not slow.
 	slowSince   time.Time
 	hedgeBudget tokenBucket
@@ -103,8 +103,8 @@
 		classifier:  classifier{routes: map[string]*routeStats{}},
 		followers:   map[string]*follower{}, releasedEarly: map[permitKey]bool{},
 		recentRefusals: recentRefusals{refusedAt: map[uint32]time.Time{}},
-		serviceTimes:   map[string]*serviceTime{}, cacheModel: newCacheModel(),
-		metrics: newDispatcherMetrics(m.scope, service),
+		model:          placement.NewModel(maxRoutes),
+		metrics:        newDispatcherMetrics(m.scope, service),
 		balance: balance.New(balance.Options{
 			Domain: m.opts.FailureDomain, Region: m.self.Region, ShiftShare: m.opts.ShiftShare, ShiftWindow: m.opts.ShiftWindow,
 		}),
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -64,13 +64,13 @@
 	}
 	if !w.req.Objective.IsZero() {
 		p.objective, p.warm, p.cold = true, decision.Cached, now.Before(t.coldUntil)
-		p.recencyRank = t.recentObjects.rank(w.req.ObjectHash)
+		p.recencyRank = t.recentObjects.Rank(w.req.ObjectHash)
 		if decision.ExpectedDuration > 0 {
 			p.expectedEnd = now.Add(decision.ExpectedDuration)
 		}
-		t.recentObjects = t.recentObjects.touch(w.req.ObjectHash)
+		t.recentObjects = t.recentObjects.Touch(w.req.ObjectHash)
 	}
-	p.slowdown = t.speed.reported(now)
+	p.slowdown = t.speed.Reported(now)
 	t.takeRateToken(now)
 	if d.canProbe(t, w, now) {
 		p.probe, t.health.probing = true, true
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -132,11 +132,6 @@
 	return ends[position].Sub(now), true
 }
 
-// withMargin adds estimateMargin to an expected time.
-func withMargin(expected time.Duration) time.Duration {
-	return expected + time.Duration(estimateMargin*float64(expected))
-}
-
 // pushObjective queues a request, ordered by priority and then by arrival.
 func (d *dispatcher) pushObjective(w *waiter) {
 	i, _ := slices.BinarySearchFunc(d.objectiveWaiters, w, func(a, b *waiter) int {
@@ -285,8 +280,8 @@
 func (d *dispatcher) retryHint(w *waiter, now time.Time) time.Duration {
 	_, total := d.slots.totals()
 	next := d.meanHoldTime[w.class] * time.Duration(len(d.objectiveWaiters)+1) / time.Duration(max(1, total))
-	best := d.serviceTimes[w.req.Route].estimate(w.req.ObjectHash != 0)
-	if now.Add(withMargin(time.Duration(best)) + next).Before(w.req.Objective) {
+	best := d.model.Estimate(w.req.Route, w.req.ObjectHash != 0)
+	if now.Add(withMargin(best) + next).Before(w.req.Objective) {
 		return next
 	}
 	return max(next, lateRetryAfter)
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -106,7 +106,7 @@
 		d.observeServiceTime(p, r.observation, now)
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_SHED, peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR,
 		peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST:
-		d.observeFailure(p.target, now)
+		p.target.speed.ObserveFailure(now)
 	}
 	if outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_OK {
 		d.classifier.observe(p.route, r.observation.Total, r.observation.Bytes)
--- a/pkg/permit/target.go
+++ b/pkg/permit/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit/placement"
 )
 
 // target is the dispatcher's record of one target: its slots, and what was observed of its health and speed.
@@ -28,8 +29,8 @@
 	config   *configv1.Target
 	nameHash uint64
 	// recentObjects holds the hashes of the objects that the target served, most recent first.
-	recentObjects recentObjects
-	speed         speed
+	recentObjects placement.RecentObjects
+	speed         placement.Speed
 	// lastAnswer is when the target last responded to a request.
 	lastAnswer time.Time
 	// awaitingWaiters counts the waiting requests whose awaitedTarget is this target.
