--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,31 @@
 // network delivers calls between the followers of a test without delay.
 type network struct {
 	handlers map[string]map[string]peer.Handler
+
+	mu sync.Mutex
+	// down is a host that receives no calls.
+	down string
+	// crossings counts the calls between places.
+	crossings int
+}
+
+// count counts a call and returns an error if its receiver is down.
+func (n *network) count(from, to string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if placeOf(from) != placeOf(to) {
+		n.crossings++
+	}
+	if to == n.down {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// placeOf returns the place of a host, which follows its name after a slash.
+func placeOf(host string) string {
+	_, place, _ := strings.Cut(host, "/")
+	return place
 }
 
 type node struct {
@@ -101,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.count(n.self, to.Host); err != nil {
+		return err
+	}
 	answer, err := n.handlers[to.Host][method](ctx, peer.Identity{Host: n.self}, payload)
 	if err != nil {
 		return err
@@ -130,11 +159,15 @@
 
 // startFollowers runs a follower on each host and returns the tables and the feed readers by host.
 func startFollowers(t *testing.T, f *feed, hosts ...string) (map[string]*Table, map[string]*reader) {
-	n := &network{handlers: map[string]map[string]peer.Handler{}}
+	return startFollowersOn(t, &network{handlers: map[string]map[string]peer.Handler{}}, f, hosts...)
+}
+
+// startFollowersOn is startFollowers with a given network.
+func startFollowersOn(t *testing.T, n *network, f *feed, hosts ...string) (map[string]*Table, map[string]*reader) {
 	var members []membership.Member
 	for _, h := range hosts {
 		n.handlers[h] = map[string]peer.Handler{}
-		members = append(members, membership.Member{Host: h, FailureDomain: "d"})
+		members = append(members, membership.Member{Host: h, FailureDomain: "d", Place: placeOf(h)})
 	}
 	tables, readers := map[string]*Table{}, map[string]*reader{}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -238,3 +271,48 @@
 		}
 	})
 }
+
+// Guards against changes and polls that cross to another place once for each host there, and against hosts of a place that miss changes
+// while their place reader is down.
+func TestPlacesAreReachedThroughOneHost(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{}
+		f.put("a", "1")
+		n := &network{handlers: map[string]map[string]peer.Handler{}}
+		hosts := []string{"h1/p", "h2/p", "h3/p", "h4/p", "h5/q", "h6/q", "h7/q", "h8/q"}
+		tables, _ := startFollowersOn(t, n, f, hosts...)
+		time.Sleep(5 * time.Second)
+		n.mu.Lock()
+		n.crossings = 0
+		n.mu.Unlock()
+		f.put("b", "2")
+		time.Sleep(3 * time.Second)
+		n.mu.Lock()
+		is.True(n.crossings <= 13) // ten polls in 3 s and a push; four hosts would poll forty times
+		n.mu.Unlock()
+		for _, table := range tables {
+			is.Equal(len(values(table, time.Now())), 2)
+		}
+		var members []membership.Member
+		for _, h := range hosts {
+			members = append(members, membership.Member{Host: h, Place: placeOf(h)})
+		}
+		reader, _ := ownerOf(members)
+		for place, list := range membersByPlace(members) {
+			if owner, _ := ownerOf(list); place != reader.Place {
+				n.mu.Lock()
+				n.down = owner.Host
+				n.mu.Unlock()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.put("c", "3")
+		time.Sleep(time.Second) // the reader's read returns within 0.8 s; other hosts read themselves after 1.7 s
+		for host, table := range tables {
+			if got := len(values(table, time.Now())); got != 3 && host != n.down {
+				t.Errorf("host %s has %d rows", host, got)
+			}
+		}
+	})
+}
