--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -306,9 +306,11 @@
 				n.mu.Unlock()
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
 		f.put("c", "3")
-		time.Sleep(time.Second) // the reader's read returns within 0.8 s; other hosts read themselves after 1.7 s
+		for len(values(tables[reader.Host], time.Now())) < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond)
 		for host, table := range tables {
 			if got := len(values(table, time.Now())); got != 3 && host != n.down {
 				t.Errorf("host %s has %d rows", host, got)
