End a call or a dispatcher that panics instead of the host

Cause: a panic in the handler of a peer's message ended the process; one in a dispatcher was kept by its goroutine group, and the service had no dispatcher in the failure domain from then on. Change: the handler's panic becomes an error of the call, with a log line and a counter; a dispatcher that panics is started again like a superseded one and recovers the permits in use. Violations of invariants still end tests. A heartbeat reserves at most 4,096 slots at a target.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -19,10 +19,20 @@
 	detail := fmt.Sprintf(format, args...)
 	violations.Add(1)
 	if testing.Testing() {
-		panic(fmt.Sprintf("invariant %s violated: %s", name, detail))
+		panic(Violation(fmt.Sprintf("invariant %s violated: %s", name, detail)))
 	}
 	log.Error().Str("invariant", name).Msg(detail)
 }
 
+// Violation is the value with which Check panics in tests.
+type Violation string
+
+// Rethrow panics again with a recovered value that is a Violation, which must end a test.
+func Rethrow(recovered any) {
+	if v, ok := recovered.(Violation); ok {
+		panic(v)
+	}
+}
+
 // Violations returns the number of violations since the process started.
 func Violations() uint64 { return violations.Load() }
--- a/pkg/peer/metrics.go
+++ b/pkg/peer/metrics.go
@@ -14,6 +14,7 @@
 	sessionsLost     tally.Counter
 	served           tally.Counter
 	rejected         tally.Counter
+	panics           tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -30,5 +31,6 @@
 		sessionsLost:     s.Counter("sessions_lost"),
 		served:           s.Counter("served_calls"),
 		rejected:         s.Counter("rejected_calls"),
+		panics:           s.Counter("handler_panics"),
 	}
 }
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -344,3 +344,21 @@
 		_ = conn.Close()
 	})
 }
+
+// Guards against a message that ends the whole process because its handler panics.
+func TestPanickingHandlerEndsOnlyItsCall(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness()
+		a := h.node(t, "a", 1, nil)
+		h.node(t, "b", 2, func(context.Context, peer.Identity, []byte) (proto.Message, error) {
+			var none []int
+			return nil, errors.Newf("%d", none[len(none)+1])
+		})
+		_, err := call(a, addrB, "wait", "x", time.Second)
+		is.True(errors.Is(err, peer.ErrRemote))
+		got, err := call(a, addrB, "echo", "still there", time.Second)
+		is.NoErr(err)
+		is.Equal(got, "still there")
+	})
+}
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -5,11 +5,16 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rattanhitch/rattanhitch/internal/invariant"
+
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
@@ -142,7 +147,7 @@
 	if !ok {
 		return failure(call, fmt.Sprintf("no method %q, hash %d", call.GetMethod(), call.GetMethodHash()))
 	}
-	message, err := handler(ctx, from, call.GetPayload())
+	message, err := n.runHandler(ctx, handler, from, call)
 	if err != nil {
 		return failure(call, err.Error())
 	}
@@ -156,6 +161,20 @@
 	return &peerv1.Envelope{Id: call.GetId(), Incarnation: call.GetIncarnation(), Payload: payload}
 }
 
+// runHandler runs a handler. A panic becomes an error: a message that a handler cannot cope with must not end the host.
+func (n *Node) runHandler(ctx context.Context, h Handler, from Identity, call *peerv1.Envelope) (message proto.Message, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			invariant.Rethrow(r)
+			n.metrics.panics.Inc(1)
+			log.Error().Str("step", "serve call").Str("peer", from.Host).Str("method", call.GetMethod()).Str("panic", fmt.Sprint(r)).
+				Bytes("stack", debug.Stack()).Msg("handler panicked")
+			err = errors.Newf("handler of %s panicked", call.GetMethod())
+		}
+	}()
+	return h(ctx, from, call.GetPayload())
+}
+
 // maxErrorText is the length in bytes to which error texts are truncated, so that they fit into an Envelope.
 const maxErrorText = 4 << 10
 
--- a/pkg/permit/export_test.go
+++ b/pkg/permit/export_test.go
@@ -81,3 +81,13 @@
 	}
 	return s.fence, uses
 }
+
+// panicEvent makes a dispatcher panic.
+type panicEvent struct{}
+
+func (panicEvent) apply(*dispatcher, time.Time) {
+	panic("a message that the dispatcher cannot cope with")
+}
+
+// BreakDispatcher makes this host's dispatcher of a service panic.
+func (m *Manager) BreakDispatcher(service string) { m.dispatcher(service).send(panicEvent{}) }
--- a/pkg/permit/lifecycle.go
+++ b/pkg/permit/lifecycle.go
@@ -1,11 +1,14 @@
 package permit
 
 import (
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"github.com/rattanhitch/rattanhitch/internal/invariant"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 )
@@ -59,7 +62,7 @@
 	}
 	log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).Msg("dispatcher starts")
 	m.group.Go(func() {
-		d.run()
+		d.runRecovering()
 		if d.superseded {
 			log.Info().Str("step", "dispatcher").Str("service", service).Uint64("term", id.term).
 				Str("newest", m.state(service).followed().host).Msg("dispatcher is superseded")
@@ -68,6 +71,20 @@
 	})
 }
 
+// runRecovering runs a dispatcher. One that panics ends like a superseded one: it is started again and recovers the permits in use, instead of
+// leaving the service without a dispatcher.
+func (d *dispatcher) runRecovering() {
+	defer func() {
+		if r := recover(); r != nil {
+			invariant.Rethrow(r)
+			d.superseded = true
+			log.Error().Str("step", "dispatcher").Str("service", d.service).Str("panic", fmt.Sprint(r)).Bytes("stack", debug.Stack()).
+				Msg("dispatcher panicked")
+		}
+	}()
+	d.run()
+}
+
 // addDispatcher adds a dispatcher to those that run. It returns false after Close, because the dispatcher would never run, and
 // stopDispatcher would wait for its end. It is called in a goroutine that Close waits for.
 func (m *Manager) addDispatcher(service string, d *dispatcher) bool {
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -33,6 +33,8 @@
 	recoverTimeout = 500 * time.Millisecond
 	// recoverRetryInterval is the pause between a failed recover call and the next one to the same host.
 	recoverRetryInterval = 200 * time.Millisecond
+	// maxReservedPermits limits the slots that are reserved at one target for a host, so that a malformed heartbeat does not exhaust the memory.
+	maxReservedPermits = 4096
 )
 
 // follower is the recovery state of one host of the dispatcher's failure domain.
@@ -183,7 +185,7 @@
 			continue
 		}
 		expires := now.Add(time.Duration(h.GetLatestDeadlineMs())*time.Millisecond + expiryGrace)
-		for range h.GetCount() {
+		for range min(h.GetCount(), maxReservedPermits) {
 			id++
 			d.slots.occupy(&permit{
 				key: permitKey{reservationID(f.holder), id}, target: d.slots.target(h.GetTarget()), holder: f.holder,
