--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -119,15 +119,16 @@
 		case <-s.mux.CloseChan():
 			return
 		case now := <-ticker.C:
-			switch heard := s.conn.lastReadAt(); {
-			case pingInFlight:
-			case now.Sub(heard) < keepaliveInterval && s.roundTrip.Load() > 0:
-				lastReply = heard
+			if pingInFlight {
+				continue
+			}
+			if s.needsNoPing(now) {
+				lastReply = s.conn.lastReadAt()
 				limit.Reset(s.pingDeadline(lastReply).Sub(now))
-			default:
-				pingInFlight = true
-				go func() { pingResults <- s.ping() }()
+				continue
 			}
+			pingInFlight = true
+			go func() { pingResults <- s.ping() }()
 		case err := <-pingResults:
 			pingInFlight = false
 			if err == nil {
@@ -145,6 +146,11 @@
 	}
 }
 
+// needsNoPing reports whether bytes arrived recently, so that the session is alive, and its round-trip time is known.
+func (s *session) needsNoPing(now time.Time) bool {
+	return now.Sub(s.conn.lastReadAt()) < keepaliveInterval && s.roundTrip.Load() > 0
+}
+
 // ping sends one ping and records the round-trip time.
 func (s *session) ping() error {
 	took, err := s.mux.Ping()
