--- a/pkg/permit/balance/shares.go
+++ b/pkg/permit/balance/shares.go
@@ -73,24 +73,24 @@
 func capacities(loads []Load) []float64 {
 	slots, demand := totalLoad(loads)
 	list := make([]float64, len(loads))
-	unhurried := 0.0
+	planned := 0.0
 	for i, l := range loads {
-		list[i] = unhurriedCapacity(l.Slots)
-		unhurried += list[i]
+		list[i] = plannedCapacity(l.Slots)
+		planned += list[i]
 	}
-	if demand <= unhurried || slots == 0 {
+	if demand <= planned || slots == 0 {
 		return list
 	}
-	pressure := min(1, (demand-unhurried)/max(slots-unhurried, 1e-9))
+	pressure := min(1, (demand-planned)/max(slots-planned, 1e-9))
 	for i, l := range loads {
 		list[i] += pressure * (l.Slots*max(1, demand/slots) - list[i])
 	}
 	return list
 }
 
-// unhurriedCapacity returns the number of slots that can be in use on average so that an arriving request seldom finds all of them occupied.
+// plannedCapacity returns the number of slots that can be in use on average so that an arriving request seldom finds all of them occupied.
 // By the square-root rule of staffing, the spare slots grow with the root of the slots: few slots need a larger part in reserve.
-func unhurriedCapacity(slots float64) float64 { return max(0, slots-spareFactor*math.Sqrt(slots)) }
+func plannedCapacity(slots float64) float64 { return max(0, slots-spareFactor*math.Sqrt(slots)) }
 
 // limitShift returns the shares in from, moved towards those in to by at most maxShift, a fraction of all requests. A failure
 // domain that is missing in to loses its share at once.
