Show that a statement of an earlier process keeps the next one unused

Cause: found on reading the change again. A notice and a release name the target, not the process that gave the answer, so that a late last answer of a process that was leaving binds the one that was started under its name, for good.

--- a/pkg/permit/notice_test.go
+++ b/pkg/permit/notice_test.go
@@ -129,3 +129,22 @@
 		d.take(is, others[0]).Release(permit.Observation{Outcome: ok, Total: time.Millisecond})
 	})
 }
+
+// Guards against a target that stays unused because the last answer of its earlier process, which was leaving, is reported after another one
+// was started under its name: by a release, or by a host when another dispatcher takes over.
+func TestStatementOfAnEarlierProcessIsIgnored(t *testing.T) {
+	run(t, 4, 4, startedAt(7), func(d *domain, is *is.I) {
+		owner, others := d.ownerAndOthers("lookup")
+		g := d.take(is, others[0])
+		d.Store.Set(config.NewSnapshot(2, startedAt(8)))
+		time.Sleep(100 * time.Millisecond)
+		g.Note(permit.Notice{Leaving: true})
+		g.Release(permit.Observation{Outcome: ok, Total: time.Millisecond, Leaving: true})
+		time.Sleep(100 * time.Millisecond)
+		is.True(slices.Contains(d.targetsOf(is, others[0], 20), g.Target))
+		is.True(slices.Contains(d.targetsOf(is, others[1], 20), g.Target))
+		d.Kill(owner)
+		time.Sleep(5 * time.Second) // another dispatcher takes over
+		is.True(slices.Contains(d.targetsOf(is, others[1], 20), g.Target))
+	})
+}
