Tie a target's statement that it is leaving to its process

Change: a notice belongs to the process that the configuration named when the permit was granted, and is dropped once another one is configured; a release counts for the process of its permit; hosts hand the start over with the name when a dispatcher recovers. A leaving target is remembered while it is configured, also where the configuration states no starts. The test takes all permits at once now, which shows a target that is shut out whatever the order of choice.

--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -258,7 +258,8 @@
 		return nil, nil, false
 	}
 	result.grant.Deadline = req.Deadline
-	result.grant.Note = func(n Notice) { m.notices.record(held.target, n) }
+	asked := m.notices.process(held.target)
+	result.grant.Note = func(n Notice) { m.notices.record(asked, n) }
 	var once sync.Once
 	result.grant.Release = func(obs Observation) {
 		once.Do(func() { m.release(state, req, held, obs) })
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -60,7 +60,7 @@
 	p := &permit{
 		key: permitKey{d.id, d.lastPermitID}, target: t, holder: w.from, requestID: w.req.ID, route: w.req.Route,
 		fingerprint: w.req.Fingerprint, class: w.class,
-		granted: now, expires: w.deadline.Add(expiryGrace),
+		granted: now, expires: w.deadline.Add(expiryGrace), process: process{t.name, t.config.GetStartedUnixMs()},
 	}
 	if !w.req.Objective.IsZero() {
 		p.objective, p.warm, p.cold = true, decision.Cached, now.Before(t.coldUntil)
--- a/pkg/permit/notice.go
+++ b/pkg/permit/notice.go
@@ -7,6 +7,8 @@
 	"github.com/phuslu/log"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
 )
 
@@ -33,10 +35,21 @@
 	HoldOff time.Duration
 }
 
+// process is a process of a target.
+type process struct {
+	target string
+	// started is its start (configv1.Target), 0 if it is unknown.
+	started uint64
+}
+
+// isOther reports whether a process is certainly not the one of the same target with a given start.
+func (p process) isOther(started uint64) bool {
+	return p.started != 0 && started != 0 && p.started != started
+}
+
 // targetNotice is what one process of a target has stated.
 type targetNotice struct {
-	// started is the start of the process (configv1.Target), 0 if it is unknown.
-	started  uint64
+	process
 	leaving  bool
 	statedAt time.Time
 	// holdUntil is until when the target wants no requests from this host.
@@ -59,29 +72,34 @@
 	return &notices{store: store, lines: logging.NewLimiter(noticeLinesPerSecond), byTarget: map[string]targetNotice{}}
 }
 
-// record adds a notice of a target.
-func (n *notices) record(target string, notice Notice) {
-	if !notice.Leaving && notice.HoldOff <= 0 {
+// process returns the process of a target in the present configuration.
+func (n *notices) process(target string) process {
+	return process{target, configOf(n.store.Current(), target).GetStartedUnixMs()}
+}
+
+// record adds a notice of a process, unless a later process of the target is configured.
+func (n *notices) record(from process, notice Notice) {
+	if !notice.Leaving && notice.HoldOff <= 0 || from.isOther(n.process(from.target).started) {
 		return
 	}
 	now := time.Now()
-	started := startOf(n.store.Current(), target)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.removeExpired(now)
-	known := n.byTarget[target]
-	if started != 0 && known.started != started {
-		known = targetNotice{started: started}
+	known := n.byTarget[from.target]
+	if known.isOther(from.started) {
+		known = targetNotice{}
 	}
 	isNews := notice.Leaving && !known.leaving || notice.HoldOff > 0
+	known.process = from
 	known.leaving = known.leaving || notice.Leaving
 	known.statedAt = now
 	if until := now.Add(notice.HoldOff); until.After(known.holdUntil) {
 		known.holdUntil = until
 	}
-	n.byTarget[target] = known
+	n.byTarget[from.target] = known
 	if isNews {
-		n.log(target, notice, now)
+		n.log(from.target, notice, now)
 	}
 }
 
@@ -96,8 +114,9 @@
 
 // removeExpired removes the notices that no longer matter. n.mu must be held.
 func (n *notices) removeExpired(now time.Time) {
+	snap := n.store.Current()
 	for target, known := range n.byTarget {
-		if !known.binds(now) || now.Sub(known.statedAt) > noticeRetention && startOf(n.store.Current(), target) == 0 {
+		if !known.binds(now) || now.Sub(known.statedAt) > noticeRetention && configOf(snap, target) == nil {
 			delete(n.byTarget, target)
 		}
 	}
@@ -105,31 +124,40 @@
 
 // excluded returns the targets that must get no request from this host.
 func (n *notices) excluded(now time.Time) []string {
-	return n.targets(func(known targetNotice) bool { return known.binds(now) })
+	var list []string
+	for _, known := range n.current() {
+		if known.binds(now) {
+			list = append(list, known.target)
+		}
+	}
+	return list
 }
 
-// leaving returns the targets that have stated that they are leaving.
-func (n *notices) leaving() []string {
-	return n.targets(func(known targetNotice) bool { return known.leaving })
+// encodeLeaving returns the processes that have stated that they are leaving.
+func (n *notices) encodeLeaving() []*peerv1.LeavingTarget {
+	var list []*peerv1.LeavingTarget
+	for _, known := range n.current() {
+		if known.leaving {
+			list = append(list, &peerv1.LeavingTarget{Target: known.target, StartedUnixMs: known.started})
+		}
+	}
+	return list
 }
 
-// targets returns the targets whose present process gave a notice for which a predicate holds.
-func (n *notices) targets(holds func(targetNotice) bool) []string {
+// current returns the notices of the present processes and removes those of earlier ones.
+func (n *notices) current() []targetNotice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.byTarget) == 0 {
 		return nil
 	}
-	snap := n.store.Current()
-	var list []string
+	var list []targetNotice
 	for target, known := range n.byTarget {
-		if started := startOf(snap, target); started != 0 && known.started != 0 && started != known.started {
-			delete(n.byTarget, target) // another process under the same name
+		if known.isOther(n.process(target).started) {
+			delete(n.byTarget, target)
 			continue
 		}
-		if holds(known) {
-			list = append(list, target)
-		}
+		list = append(list, known)
 	}
 	return list
 }
@@ -142,28 +170,28 @@
 	return ok && known.binds(now)
 }
 
-// startOf returns the start of a target's process in a configuration, 0 if it is unknown.
-func startOf(snap *config.Snapshot, target string) uint64 {
-	return snap.Object(config.Key{Kind: config.KindTarget, Name: target}).GetTarget().GetStartedUnixMs()
+// configOf returns the configuration of a target, or nil.
+func configOf(snap *config.Snapshot, target string) *configv1.Target {
+	return snap.Object(config.Key{Kind: config.KindTarget, Name: target}).GetTarget()
 }
 
 // ForbidsAddress reports whether the target at an address must get no request from this host, not for another host either.
 func (m *Manager) ForbidsAddress(address string) bool {
 	snap := m.opts.Store.Current()
 	for _, name := range m.notices.excluded(time.Now()) {
-		if snap.Object(config.Key{Kind: config.KindTarget, Name: name}).GetTarget().GetAddress() == address {
+		if configOf(snap, name).GetAddress() == address {
 			return true
 		}
 	}
 	return false
 }
 
-// closeLeaving makes a dispatcher grant no more permits for targets that are leaving.
-func (d *dispatcher) closeLeaving(targets []string) {
-	for _, name := range targets {
-		if t := d.slots.targets[name]; t != nil && !t.leaving {
-			t.leaving, t.closed = true, true
-			log.Info().Str("step", "target").Str("service", d.service).Str("target", name).Msg("target is leaving and gets no more permits")
-		}
+// closeLeaving makes a dispatcher grant no more permits for a process that is leaving.
+func (d *dispatcher) closeLeaving(p process) {
+	t := d.slots.targets[p.target]
+	if t == nil || t.leaving || p.isOther(t.config.GetStartedUnixMs()) {
+		return
 	}
+	t.leaving, t.closed = true, true
+	log.Info().Str("step", "target").Str("service", d.service).Str("target", p.target).Msg("target is leaving and gets no more permits")
 }
--- a/pkg/permit/notice_test.go
+++ b/pkg/permit/notice_test.go
@@ -130,6 +130,20 @@
 	})
 }
 
+// grantsOf returns how many of six permits that a host gets at once, which are all of threeTargets, are for a target.
+func (d *domain) grantsOf(is *is.I, h *permittest.Host, target string) int {
+	is.Helper()
+	count := 0
+	for range threeTargets.Targets * threeTargets.Slots {
+		g := d.take(is, h)
+		defer g.Release(permit.Observation{Outcome: ok, Total: time.Millisecond})
+		if g.Target == target {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against a target that stays unused because the last answer of its earlier process, which was leaving, is reported after another one
 // was started under its name: by a release, or by a host when another dispatcher takes over.
 func TestStatementOfAnEarlierProcessIsIgnored(t *testing.T) {
@@ -141,10 +155,11 @@
 		g.Note(permit.Notice{Leaving: true})
 		g.Release(permit.Observation{Outcome: ok, Total: time.Millisecond, Leaving: true})
 		time.Sleep(100 * time.Millisecond)
-		is.True(slices.Contains(d.targetsOf(is, others[0], 20), g.Target))
-		is.True(slices.Contains(d.targetsOf(is, others[1], 20), g.Target))
+		is.Equal(d.grantsOf(is, others[0], g.Target), 2)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(d.grantsOf(is, others[1], g.Target), 2)
 		d.Kill(owner)
 		time.Sleep(5 * time.Second) // another dispatcher takes over
-		is.True(slices.Contains(d.targetsOf(is, others[1], 20), g.Target))
+		is.Equal(d.grantsOf(is, others[1], g.Target), 2)
 	})
 }
--- a/pkg/permit/recovery.go
+++ b/pkg/permit/recovery.go
@@ -131,7 +131,9 @@
 	}
 	d.manager.poison.Merge(r.resp.GetSuspects())
 	d.adoptRateLimits(r.resp.GetLimits(), now)
-	d.closeLeaving(r.resp.GetLeavingTargets())
+	for _, l := range r.resp.GetLeavingTargets() {
+		d.closeLeaving(process{l.GetTarget(), l.GetStartedUnixMs()})
+	}
 	d.activateIfRecovered()
 }
 
@@ -279,7 +281,7 @@
 		return &peerv1.RecoverResponse{Newer: s.fence.proto()}
 	}
 	s.fence = by
-	resp := &peerv1.RecoverResponse{Suspects: m.poison.Records(), Limits: s.encodeRateLimits(now), LeavingTargets: m.notices.leaving()}
+	resp := &peerv1.RecoverResponse{Suspects: m.poison.Records(), Limits: s.encodeRateLimits(now), LeavingTargets: m.notices.encodeLeaving()}
 	for _, h := range s.inUse(now) {
 		resp.Held = append(resp.Held, &peerv1.HeldPermit{
 			Id: h.key.id, Dispatcher: h.key.dispatcher.proto(), Target: h.target, Class: h.class,
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -74,7 +74,7 @@
 	}
 	p := d.slots.free(r.key)
 	if r.observation.Leaving {
-		d.closeLeaving([]string{r.target})
+		d.closeLeaving(r.process(p))
 	}
 	d.observeCrash(p, r, now)
 	if p == nil && r.key.dispatcher != d.id {
@@ -87,6 +87,14 @@
 	d.observeRateLimit(p, r.observation, now)
 }
 
+// process returns the process that gave the answer, as far as the permit tells; p is nil if the dispatcher does not hold it.
+func (r *release) process(p *permit) process {
+	if p == nil {
+		return process{target: r.target}
+	}
+	return process{r.target, p.process.started}
+}
+
 // observe updates the statistics of the target, the route and the service from a released permit. A permit whose request was not
 // sent is ignored.
 func (d *dispatcher) observe(p *permit, r *release, now time.Time) {
