Call what the project has, and drop state that can be derived

Found on reading the whole change again; no decision changes. - The order of hosts by rendezvous hashing and processor time stood in pkg/permit and again in pkg/steering: membership.Rank and Member.ProcessorTime, which lookups use too. - Two recover blocks with logging: panics.Try of conc, which the project uses already. - The node kept names of methods beside handlers: one map.

--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -23,10 +23,12 @@
 // repeat the request ID.
 func (h *Handler) matchAttempt(a *attempt, resp *http.Response) upstream.Match {
 	a.info, a.responded = h.opts.Dialect.ReadResponse(resp), true
-	switch a.info.ID {
-	case "":
+	switch {
+	case a.info.ID == "" && a.info.NotRun:
+		return upstream.MatchNoIDNotRun
+	case a.info.ID == "":
 		return upstream.MatchNoID
-	case a.targetRequestID:
+	case a.info.ID == a.targetRequestID:
 		return upstream.MatchID
 	}
 	return upstream.MatchOther
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -28,7 +28,6 @@
 		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(),
 		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(),
 		Matches:        func(resp *http.Response) upstream.Match { return h.matchAttempt(a, resp) },
-		NotRun:         func(resp *http.Response) bool { return h.opts.Dialect.ReadResponse(resp).NotRun },
 	})
 	a.firstByte = time.Since(a.sent)
 	a.connRequested.Store(true)
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -114,7 +114,7 @@
 			return nil, err
 		}
 		match := o.match(resp)
-		if match == MatchNoID && c.isAmbiguous(resp, o) {
+		if c.isAmbiguous(match) {
 			if !c.echoesID {
 				return nil, errors.New("a refusal without an ID may be a copy of an earlier one")
 			}
@@ -144,8 +144,8 @@
 
 // isAmbiguous reports whether a response without an ID may be a late copy of an earlier response on the connection: a target that has
 // stated IDs on it goes on doing so, and a refusal that could belong to either request must not be believed.
-func (c *conn) isAmbiguous(resp *http.Response, o Options) bool {
-	return c.requestCount > 1 && (c.echoesID || o.NotRun != nil && o.NotRun(resp))
+func (c *conn) isAmbiguous(m Match) bool {
+	return c.requestCount > 1 && (m == MatchNoIDNotRun || m == MatchNoID && c.echoesID)
 }
 
 // writeRequest writes the request. A request with a body that is larger than the write buffer or of unknown length is written in
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -49,8 +49,6 @@
 	DedicatedConn bool
 	// Matches reports whether a response belongs to the request. It must not read the body. Nil accepts any response.
 	Matches func(*http.Response) Match
-	// NotRun reports whether a response states that the target did not run the request. Nil means that none does.
-	NotRun func(*http.Response) bool
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
 	// right one follows it.
 	SkipMismatched bool
@@ -62,8 +60,9 @@
 const (
 	// MatchID means that the response states the ID of the request.
 	MatchID Match = iota
-	// MatchNoID means that the response states no ID.
+	// MatchNoID means that the response states no ID, MatchNoIDNotRun that it states none and that the target did not run the request.
 	MatchNoID
+	MatchNoIDNotRun
 	// MatchOther means that the response states another ID.
 	MatchOther
 )
--- a/pkg/entry/upstream/upstream_test.go
+++ b/pkg/entry/upstream/upstream_test.go
@@ -62,15 +62,16 @@
 func roundTrip(t *testing.T, c *Client, o Options, id string) (string, error) {
 	t.Helper()
 	o.Matches = func(resp *http.Response) Match {
-		switch resp.Header.Get("Id") {
-		case "":
-			return MatchNoID
-		case id:
+		switch stated := resp.Header.Get("Id"); {
+		case stated == id:
 			return MatchID
+		case stated != "":
+			return MatchOther
+		case resp.Header.Get("Not-Run") != "":
+			return MatchNoIDNotRun
 		}
-		return MatchOther
+		return MatchNoID
 	}
-	o.NotRun = func(resp *http.Response) bool { return resp.Header.Get("Not-Run") != "" }
 	resp, err := c.RoundTrip(request(t.Context(), id), o)
 	if err != nil {
 		return "", err
--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -37,6 +37,5 @@
 			break
 		}
 	}
-	capacity := func(m membership.Member) float64 { return float64(max(m.Capacity, 1)) }
-	return shuffle.Weighted(candidates, capacity, rand.ExpFloat64)[:min(limit, len(candidates))]
+	return shuffle.Weighted(candidates, membership.Member.ProcessorTime, rand.ExpFloat64)[:min(limit, len(candidates))]
 }
--- a/pkg/membership/ring.go
+++ b/pkg/membership/ring.go
@@ -7,24 +7,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ring holds the hosts of a failure domain that watch each other, in an order on which all of them agree.
+// ring is the order, on which all hosts of a failure domain agree, in which they watch each other.
 type ring struct {
 	hosts []string
-	// places holds the place of each host.
-	places map[string]string
+	// placeOf returns the place of a host.
+	placeOf func(host string) string
 }
 
-// newRing returns a ring of hosts, sorted by the hash of their name. Hosts with similar names, such as those of one rack, may fail
+// newRing returns a ring of hosts, which it sorts by the hash of their name. Hosts with similar names, such as those of one rack, may fail
 // together and are spread over the ring.
-func newRing(places map[string]string) ring {
-	r := ring{places: places, hosts: make([]string, 0, len(places))}
-	for host := range places {
-		r.hosts = append(r.hosts, host)
-	}
-	slices.SortFunc(r.hosts, func(a, b string) int {
+func newRing(hosts []string, placeOf func(host string) string) ring {
+	slices.SortFunc(hosts, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
-	return r
+	return ring{hosts, placeOf}
 }
 
 // successors returns the hosts to which a host sends heartbeats, which watch it: the next ones in the ring. Of more than meshSize hosts
@@ -44,11 +40,11 @@
 	if size <= meshSize {
 		return slices.Concat(r.hosts[at+1:], r.hosts[:at])
 	}
-	place := r.places[r.hosts[at]]
+	place := r.placeOf(r.hosts[at])
 	near, far := make([]string, 0, ringSuccessors), make([]string, 0, ringSuccessors)
 	for i := 1; i < size && (len(near) < ringSuccessors || len(far) < 1); i++ {
 		next := r.hosts[(at+i)%size]
-		switch isNear := r.places[next] == place; {
+		switch isNear := r.placeOf(next) == place; {
 		case isNear && len(near) < ringSuccessors:
 			near = append(near, next)
 		case !isNear && len(far) < ringSuccessors:
--- a/pkg/membership/suspect_test.go
+++ b/pkg/membership/suspect_test.go
@@ -39,11 +39,7 @@
 
 // unwatched returns a host that is neither a ring successor nor a ring predecessor of the first one.
 func unwatched(hosts []string) string {
-	places := map[string]string{}
-	for _, h := range hosts {
-		places[h] = ""
-	}
-	r := newRing(places)
+	r := newRing(slices.Clone(hosts), func(string) string { return "" })
 	near := append(r.successors(hosts[0]), r.predecessors(hosts[0])...)
 	i := slices.IndexFunc(hosts[1:], func(h string) bool { return !slices.Contains(near, h) })
 	return hosts[1+i]
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -18,9 +18,7 @@
 	byDomain map[string][]Member
 	byName   map[string]Member
 	// ring holds the hosts of the local failure domain that are not dead, in ring order.
-	ring []string
-	// places holds the place of each host in the ring.
-	places       map[string]string
+	ring         []string
 	successors   []string
 	predecessors []string
 	// digest combines the hashes of the hosts in the ring.
@@ -32,7 +30,7 @@
 func (t *Tracker) publish() {
 	next := &snapshot{
 		self: t.selfRecord().publicMember(), byDomain: map[string][]Member{}, byName: make(map[string]Member, len(t.records)),
-		changed: make(chan struct{}), places: map[string]string{},
+		changed: make(chan struct{}),
 	}
 	for _, r := range t.records {
 		next.add(r, t.opts.Self.FailureDomain)
@@ -42,8 +40,7 @@
 	for _, list := range next.byDomain {
 		slices.SortFunc(list, byHost)
 	}
-	r := newRing(next.places)
-	next.ring = r.hosts
+	r := newRing(next.ring, func(host string) string { return next.byName[host].Place })
 	next.successors = r.successors(next.self.Host)
 	next.predecessors = r.predecessors(next.self.Host)
 	invariant.Check(t.selfRecord().State == StateAlive || t.selfRecord().State == StateLeaving, "membership-self",
@@ -75,7 +72,7 @@
 		v.byDomain[m.FailureDomain] = append(v.byDomain[m.FailureDomain], m)
 	}
 	if m.FailureDomain == localDomain {
-		v.places[m.Host] = m.Place
+		v.ring = append(v.ring, m.Host)
 		v.digest ^= r.hash()
 	}
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -17,12 +17,11 @@
 
 // Node manages the sessions between one host and its peers. It makes and serves RPCs and forwards HTTP requests.
 type Node struct {
-	opts     Options
-	metrics  metrics
-	traffic  *traffic
-	handlers map[string]Handler
-	// methods holds the names of the methods with a handler, by hash.
-	methods       map[uint32]string
+	opts    Options
+	metrics metrics
+	traffic *traffic
+	// methods holds the methods with a handler, by the hash of their name.
+	methods       map[uint32]method
 	forwardServer *http.Server
 
 	ctx    context.Context
@@ -42,12 +41,17 @@
 	_ Forwarder = (*Node)(nil)
 )
 
+// method is a method of the calls that this node serves.
+type method struct {
+	name    string
+	handler Handler
+}
+
 // New returns a node that does not accept connections until Start.
 func New(opts Options) *Node {
 	n := &Node{
 		opts:       opts.withDefaults(),
-		handlers:   map[string]Handler{},
-		methods:    map[uint32]string{},
+		methods:    map[uint32]method{},
 		links:      map[linkKey]*link{},
 		sessions:   map[*session]struct{}{},
 		transports: map[transportKey]*forwardTransport{},
@@ -64,15 +68,14 @@
 
 // Handle implements Registrar. It panics if the method, or one with the same hash, is already registered or the node has started, which
 // are programming errors.
-func (n *Node) Handle(method string, h Handler) {
+func (n *Node) Handle(name string, h Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	hash := methodHash(method)
+	hash := methodHash(name)
 	if _, ok := n.methods[hash]; ok || n.started {
-		panic("peer: method " + method + " registered twice or after Start")
+		panic("peer: method " + name + " registered twice or after Start")
 	}
-	n.handlers[method] = h
-	n.methods[hash] = method
+	n.methods[hash] = method{name, h}
 }
 
 // Start accepts connections until ctx ends or Close is called. It returns an error if it is called twice.
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -5,19 +5,17 @@
 	"context"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/panics"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
-
-	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
-
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
 
 // controlServer serves the calls on one control stream.
@@ -94,15 +92,13 @@
 func (c *controlServer) run(ctx context.Context, call *peerv1.Envelope) {
 	defer c.cancel(call.GetId())
 	c.node.metrics.served.Inc(1)
-	if call.GetMethodHash() != 0 {
-		call.Method = c.node.methods[call.GetMethodHash()]
-	}
-	answer := c.node.handle(ctx, c.session.remote, call)
+	m := c.node.methodOf(call)
+	answer := c.node.handle(ctx, m, c.session.remote, call)
 	if ctx.Err() != nil {
 		// The client has cancelled the call or its deadline has passed.
 		return
 	}
-	c.node.traffic.countMessage(call.GetMethod(), answer, c.session.remote)
+	c.node.traffic.countMessage(m.name, answer, c.session.remote)
 	c.answer(answer)
 }
 
@@ -141,13 +137,20 @@
 	}
 }
 
+// methodOf returns the method that a call names by hash or, from a host of an earlier version, by name. It has no handler if it is unknown.
+func (n *Node) methodOf(call *peerv1.Envelope) method {
+	if hash := call.GetMethodHash(); hash != 0 {
+		return n.methods[hash]
+	}
+	return n.methods[methodHash(call.GetMethod())]
+}
+
 // handle runs the handler of a call and returns its answer, which contains either a payload or an error text.
-func (n *Node) handle(ctx context.Context, from Identity, call *peerv1.Envelope) *peerv1.Envelope {
-	handler, ok := n.handlers[call.GetMethod()]
-	if !ok {
+func (n *Node) handle(ctx context.Context, m method, from Identity, call *peerv1.Envelope) *peerv1.Envelope {
+	if m.handler == nil {
 		return failure(call, fmt.Sprintf("no method %q, hash %d", call.GetMethod(), call.GetMethodHash()))
 	}
-	message, err := n.runHandler(ctx, handler, from, call)
+	message, err := n.runHandler(ctx, m, from, call)
 	if err != nil {
 		return failure(call, err.Error())
 	}
@@ -162,17 +165,15 @@
 }
 
 // runHandler runs a handler. A panic becomes an error: a message that a handler cannot cope with must not end the host.
-func (n *Node) runHandler(ctx context.Context, h Handler, from Identity, call *peerv1.Envelope) (message proto.Message, err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			invariant.Rethrow(r)
-			n.metrics.panics.Inc(1)
-			log.Error().Str("step", "serve call").Str("peer", from.Host).Str("method", call.GetMethod()).Str("panic", fmt.Sprint(r)).
-				Bytes("stack", debug.Stack()).Msg("handler panicked")
-			err = errors.Newf("handler of %s panicked", call.GetMethod())
-		}
-	}()
-	return h(ctx, from, call.GetPayload())
+func (n *Node) runHandler(ctx context.Context, m method, from Identity, call *peerv1.Envelope) (message proto.Message, err error) {
+	panicked := panics.Try(func() { message, err = m.handler(ctx, from, call.GetPayload()) })
+	if panicked == nil {
+		return message, err
+	}
+	invariant.Rethrow(panicked.Value)
+	n.metrics.panics.Inc(1)
+	log.Error().Err(panicked.AsError()).Str("step", "serve call").Str("peer", from.Host).Str("method", m.name).Msg("handler panicked")
+	return nil, errors.Newf("handler of %s panicked", m.name)
 }
 
 // maxErrorText is the length in bytes to which error texts are truncated, so that they fit into an Envelope.
--- a/pkg/permit/lifecycle.go
+++ b/pkg/permit/lifecycle.go
@@ -1,12 +1,11 @@
 package permit
 
 import (
-	"fmt"
-	"runtime/debug"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
@@ -74,15 +73,13 @@
 // runRecovering runs a dispatcher. One that panics ends like a superseded one: it is started again and recovers the permits in use, instead of
 // leaving the service without a dispatcher.
 func (d *dispatcher) runRecovering() {
-	defer func() {
-		if r := recover(); r != nil {
-			invariant.Rethrow(r)
-			d.superseded = true
-			log.Error().Str("step", "dispatcher").Str("service", d.service).Str("panic", fmt.Sprint(r)).Bytes("stack", debug.Stack()).
-				Msg("dispatcher panicked")
-		}
-	}()
-	d.run()
+	panicked := panics.Try(d.run)
+	if panicked == nil {
+		return
+	}
+	invariant.Rethrow(panicked.Value)
+	d.superseded = true
+	log.Error().Err(panicked.AsError()).Str("step", "dispatcher").Str("service", d.service).Msg("dispatcher panicked")
 }
 
 // addDispatcher adds a dispatcher to those that run. It returns false after Close, because the dispatcher would never run, and
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -48,6 +48,7 @@
 		w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter), now)
 		return
 	}
+	w.place = d.placeOf(w.from)
 	d.planWait(w, now)
 	d.lastSequence++
 	w.sequence = d.lastSequence
@@ -229,7 +230,6 @@
 // so that objects spread over the targets and keep their target.
 func (d *dispatcher) bestTarget(w *waiter, now time.Time) (best *target, expected time.Duration) {
 	restrictions := d.isolationOf(w, now)
-	w.place = d.placeOf(w.from)
 	for _, t := range d.slots.order {
 		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) || d.avoids(t, w, now) ||
 			!restrictions.allows(t) || !t.allowsRate(now) {
--- a/pkg/permit/objective_test.go
+++ b/pkg/permit/objective_test.go
@@ -30,6 +30,10 @@
 	waited atomic.Int64
 }
 
+func (d *domain) newLoad(objective, hit, miss time.Duration, cacheSize int) *load {
+	return &load{d: d, objective: objective, hit: hit, miss: miss, cacheSize: cacheSize, recent: map[string][]int{}}
+}
+
 func (l *load) send(object int, priority uint32) {
 	d := l.d
 	req := d.request("lookup", 4*l.objective)
@@ -79,10 +83,7 @@
 // answers must meet the objective, and requests must be refused early.
 func TestOverloadIsServedInTime(t *testing.T) {
 	run(t, 1, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
-		l := &load{
-			d: d, objective: 250 * time.Millisecond, hit: 190 * time.Millisecond, miss: 265 * time.Millisecond, cacheSize: 40,
-			recent: map[string][]int{},
-		}
+		l := d.newLoad(250*time.Millisecond, 190*time.Millisecond, 265*time.Millisecond, 40)
 		const slots, objects = 32, 80
 		interval := time.Duration(float64(l.hit) / slots / 1.5)
 		for range 4000 { // warms the caches and the estimates
@@ -117,10 +118,7 @@
 // object share the targets. A hit is in time and a miss is not.
 func TestShortRequestsDoNotHideCacheMisses(t *testing.T) {
 	run(t, 3, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
-		l := &load{
-			d: d, objective: 400 * time.Millisecond, hit: 160 * time.Millisecond, miss: 540 * time.Millisecond, cacheSize: 27,
-			recent: map[string][]int{},
-		}
+		l := d.newLoad(400*time.Millisecond, 160*time.Millisecond, 540*time.Millisecond, 27)
 		const objects, requests = 105, 4000
 		interval := time.Duration(float64(l.hit) / 32 / 0.5) // half of the slots at cache hits only
 		for i := range 2 * requests {
@@ -146,10 +144,7 @@
 	run(t, 2, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
 		l := map[uint32]*load{}
 		for p := range uint32(2) {
-			l[p] = &load{
-				d: d, objective: 250 * time.Millisecond, hit: 190 * time.Millisecond, miss: 190 * time.Millisecond,
-				recent: map[string][]int{},
-			}
+			l[p] = d.newLoad(250*time.Millisecond, 190*time.Millisecond, 190*time.Millisecond, 0)
 		}
 		for i := range 6000 {
 			p := uint32(i % 2)
@@ -170,7 +165,7 @@
 	objects[0].GetService().ColdRequestsPerSecond = 8
 	objects[1].GetTarget().ColdMs = 5000
 	run(t, 3, 2, objects, func(d *domain, is *is.I) {
-		l := &load{d: d, objective: time.Second, hit: 10 * time.Millisecond, miss: 10 * time.Millisecond, recent: map[string][]int{}}
+		l := d.newLoad(time.Second, 10*time.Millisecond, 10*time.Millisecond, 0)
 		for range 3 { // the token bucket is full at first, since the dispatcher has run for a second
 			l.inTime.Store(0)
 			for range 100 {
--- a/pkg/permit/placement/speed.go
+++ b/pkg/permit/placement/speed.go
@@ -9,7 +9,7 @@
 	// slowdownTTL is how long the slowdown that a target reports is used: it changes many times per second.
 	slowdownTTL = time.Second
 	// The residual slowdown of a target is the ratio of the observed time to the time expected from its route's mean and its
-	// Reported slowdown. residualWeight is the weight of one observation, maxResidual the bound of one observation, and
+	// reported slowdown. residualWeight is the weight of one observation, maxResidual the bound of one observation, and
 	// residualHalfLife the time after which half of the residual has decayed, so that the target is tried again.
 	residualWeight   = 0.25
 	maxResidual      = 4
--- a/pkg/permit/shard.go
+++ b/pkg/permit/shard.go
@@ -13,7 +13,6 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
-	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 )
 
 // Shards.
@@ -114,16 +113,5 @@
 // rankHosts returns the hosts of a failure domain in the order in which they take over the dispatcher with a key, by weighted
 // rendezvous hashing. Hosts with more processor time own more dispatchers.
 func rankHosts(key string, members []membership.Member) []membership.Member {
-	nodes := make([]rendezvous.Node, len(members))
-	byName := make(map[string]membership.Member, len(members))
-	for i, m := range members {
-		weight := float64(max(m.Capacity, 1))
-		nodes[i] = rendezvous.Node{Name: m.Host, Weight: weight * weight}
-		byName[m.Host] = m
-	}
-	list := make([]membership.Member, 0, len(members))
-	for _, name := range rendezvous.RankWeighted(key, nodes) {
-		list = append(list, byName[name])
-	}
-	return list
+	return membership.Rank(key, members, func(m membership.Member) float64 { return m.ProcessorTime() * m.ProcessorTime() })
 }
--- a/pkg/steering/steerer.go
+++ b/pkg/steering/steerer.go
@@ -8,7 +8,6 @@
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
-	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 )
 
 // AdmitFunc consumes budget from the cap on shifts for one request of a service that is sent to another region. It returns an
@@ -71,13 +70,7 @@
 	if len(members) <= forwardingFanout {
 		return members[intN(len(members))]
 	}
-	nodes := make([]rendezvous.Node, len(members))
-	byName := make(map[string]membership.Member, len(members))
-	for i, m := range members {
-		nodes[i] = rendezvous.Node{Name: m.Host, Weight: float64(max(m.Capacity, 1))}
-		byName[m.Host] = m
-	}
-	return byName[rendezvous.RankWeighted(s.view.Self().Host, nodes)[intN(forwardingFanout)]]
+	return membership.Rank(s.view.Self().Host, members, membership.Member.ProcessorTime)[intN(forwardingFanout)]
 }
 
 // Find returns a random host in failureDomain, or in any remote failure domain if the name is empty. If homes is not empty,
--- a/pkg/tunnel/isolation.go
+++ b/pkg/tunnel/isolation.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -172,17 +173,22 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	request := "OPTIONS *"
-	if t.HealthPath != "" {
-		request = "GET " + t.HealthPath
-	}
-	if _, err := io.WriteString(conn, request+" HTTP/1.1\r\nHost: "+t.Address+"\r\nConnection: close\r\n\r\n"); err != nil {
+	if err := t.probeRequest().Write(conn); err != nil {
 		return false
 	}
 	n, _ := conn.Read(make([]byte, 1))
 	return n > 0
 }
 
+// probeRequest returns the request with which a target is probed.
+func (t Target) probeRequest() *http.Request {
+	r := &http.Request{Method: http.MethodOptions, URL: &url.URL{Opaque: "*"}, Host: t.Address, Close: true}
+	if t.HealthPath != "" {
+		r.Method, r.URL = http.MethodGet, &url.URL{Path: t.HealthPath}
+	}
+	return r
+}
+
 // addUnanswered adds a target that has not answered and returns how many have not since the last answer.
 func (i *isolation) addUnanswered(address string) int {
 	i.mu.Lock()
