--- a/pkg/membership/suspect_test.go
+++ b/pkg/membership/suspect_test.go
@@ -29,7 +29,7 @@
 	if !ok || to.Host != n.to.opts.Self.Host {
 		return fmt.Errorf("%s to %s is not delivered", method, to.Host)
 	}
-	n.sent = append(n.sent, h)
+	n.sent = append(n.sent, proto.CloneOf(h)) // the receiver completes the message
 	reply, err := n.to.onHeartbeat(n.from, h)
 	if err == nil {
 		proto.Merge(resp, reply)
--- a/pkg/peer/stream_test.go
+++ b/pkg/peer/stream_test.go
@@ -46,3 +46,19 @@
 	_, err = late.Read(make([]byte, 1))
 	is.True(err != nil)
 }
+
+// Guards against pings on sessions on which other messages arrive all the time, and against silent sessions without pings.
+func TestSessionsWithTrafficNeedNoPing(t *testing.T) {
+	is := is.New(t)
+	here, there := net.Pipe()
+	defer func() { _ = there.Close() }()
+	s, err := newSession(here, Identity{Host: "b"}, SessionControl, true, newTraffic(tally.NoopScope, Identity{}))
+	is.NoErr(err)
+	defer s.fail(ErrClosed)
+	heard := s.conn.started.Add(time.Second)
+	s.conn.lastRead.Store(int64(time.Second))
+	is.True(!s.needsNoPing(heard)) // its round-trip time is not known
+	s.roundTrip.Store(1)
+	is.True(s.needsNoPing(heard.Add(keepaliveInterval - 1)))
+	is.True(!s.needsNoPing(heard.Add(keepaliveInterval)))
+}
