--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -31,8 +31,6 @@
 	recencyRank int
 	// expectedEnd is when the request is expected to end; zero if unknown.
 	expectedEnd time.Time
-	// started is the start of the target's process when the permit was granted, in Unix milliseconds; 0 if unknown.
-	started uint64
 	granted time.Time
 	// process is the process of the target that the configuration named when the permit was granted.
 	process process
