--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -31,7 +31,7 @@
 	recencyRank int
 	// expectedEnd is when the request is expected to end; zero if unknown.
 	expectedEnd time.Time
-	granted time.Time
+	granted     time.Time
 	// process is the process of the target that the configuration named when the permit was granted.
 	process process
 	// expires is when the slot is reclaimed without a release.
