--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,8 @@
 	host     string
 	deadline time.Duration
 	client   *http.Client
+	// leave is when a client leaves, before its deadline; 0 if it stays.
+	leave    time.Duration
 	sequence atomic.Int64
 	pending  sync.WaitGroup
 
@@ -34,7 +36,11 @@
 // Send sends one request to a host and waits for its answer.
 func (c *Clients) Send(to *Host, method, path string) {
 	id := fmt.Sprintf("%016x", c.sequence.Add(1))
-	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+	patience := c.deadline
+	if c.leave > 0 {
+		patience = c.leave
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+to.Frontend+path, nil)
 	must(err)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -243,6 +243,7 @@
 type Rule struct {
 	Name, Kind, Prefix, Service, Latency, Timeout string
 	Attempts                                      int
+	Homes                                         []string
 }
 
 // Manifest writes op/config.
@@ -252,7 +253,7 @@
 		list = append(list, map[string]any{
 			"name": r.Name, "kind": r.Kind, "target_latency": r.Latency, "priority": 1, "sticky_sessions": false,
 			"match":  map[string]any{"path_prefix": r.Prefix},
-			"action": map[string]any{"service": r.Service, "timeout": r.Timeout, "attempts": r.Attempts, "home_regions": []string{}},
+			"action": map[string]any{"service": r.Service, "timeout": r.Timeout, "attempts": r.Attempts, "home_regions": append([]string{}, r.Homes...)},
 		})
 		if !seen[r.Service] {
 			seen[r.Service] = true
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -119,11 +119,13 @@
 	w.rec.Event("worker %s is cold for %v, its entry says so", w.ID, cold)
 }
 
-// Crash ends the worker: its listener is closed and its connections are reset. Its entry stays.
-func (w *Worker) Crash() {
+// Crash ends the worker: its listener is closed and its connections are reset. Its entry stays. It reports whether the worker ran.
+func (w *Worker) Crash() bool {
 	w.mu.Lock()
 	select {
 	case <-w.stop:
+		w.mu.Unlock()
+		return false
 	default:
 		close(w.stop)
 	}
@@ -140,6 +142,14 @@
 	}
 	_ = server.Close()
 	w.rec.Event("worker %s crashes", w.ID)
+	return true
+}
+
+// Lifetime identifies the present lifetime of the worker.
+func (w *Worker) Lifetime() chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stop
 }
 
 func (w *Worker) note(a Arrival) {
