--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -28,23 +28,29 @@
 var (
 	cleanMu sync.Mutex
 	cleaned []func()
+	closing bool
 )
 
 // onExit registers what must happen before the program ends.
 func onExit(f func()) {
 	cleanMu.Lock()
 	defer cleanMu.Unlock()
+	if closing {
+		f()
+		return
+	}
 	cleaned = append(cleaned, f)
 }
 
+// cleanUp ends all processes. Every caller waits until that is done.
 func cleanUp() {
 	cleanMu.Lock()
-	list := cleaned
-	cleaned = nil
-	cleanMu.Unlock()
-	for i := len(list) - 1; i >= 0; i-- {
-		list[i]()
+	defer cleanMu.Unlock()
+	closing = true
+	for i := len(cleaned) - 1; i >= 0; i-- {
+		cleaned[i]()
 	}
+	cleaned = nil
 }
 
 // Record is the file record.txt of a case.
@@ -174,12 +180,12 @@
 	must(cmd.Start())
 	h.cmd, h.done = cmd, make(chan struct{})
 	done := h.done
-	onExit(func() { _ = cmd.Process.Kill(); <-done })
 	go func() {
 		_ = cmd.Wait()
 		_ = logFile.Close()
 		close(done)
 	}()
+	onExit(func() { _ = cmd.Process.Kill(); <-done })
 	f.Rec.Event("host %s (zone %s, clients at %s) starts", h.Name, h.Zone, h.Frontend)
 }
 
