Relate the end of a target to requests that were given up there

Cause: only a lost connection counted as a crash. A permit that was released because its caller had left, its deadline had passed or its host was lost left no trace, so nobody related the request to its target any more.

Change: hosts state that a request was given up after it was sent, and the dispatcher remembers the run until its deadline. If the target ends by then, the request gets the crash. Answers clear it; planned ends of targets show nothing.

--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -16,7 +16,7 @@
 const bodyBlockBytes = 32 << 10
 
 // serveWork executes a request. Query parameters: work is the service time, size the number of bytes of the response body, and
-// crash=1 ends the process after the execution is recorded.
+// crash=1 ends the process after the service time, even if the request is cancelled before.
 func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := withRequestTimeout(r)
 	defer cancel()
@@ -35,11 +35,12 @@
 	}
 	t.recordExecution(r.Header.Get(headerIdempotencyKey))
 	query := r.URL.Query()
+	work, _ := time.ParseDuration(query.Get("work"))
 	if query.Get("crash") == "1" {
+		time.Sleep(work)
 		t.opts.Exit(1)
 		panic(http.ErrAbortHandler)
 	}
-	work, _ := time.ParseDuration(query.Get("work"))
 	if !sleep.For(ctx, time.Duration(float64(work)*t.slowdown())) {
 		http.Error(w, "deadline exceeded or request cancelled", http.StatusGatewayTimeout)
 		return
--- a/pkg/daemon/poison_test.go
+++ b/pkg/daemon/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,31 @@
 	is.True(f.ended.Load() <= poisonDomains+2)
 }
 
+// Guards against a poison request that ends a target each time that it comes, because its caller leaves before that and nobody hears how
+// the request ends.
+func TestPoisonOfImpatientCallersIsStopped(t *testing.T) {
+	is := is.New(t)
+	f := newCrashingFleet(t, poisonDomains, poisonTargets)
+	var others sync.WaitGroup
+	for host := range f.hosts {
+		others.Go(func() {
+			for end := time.Now().Add(2 * poisonDuration); time.Now().Before(end); time.Sleep(poisonPause) {
+				f.request(host, http.MethodGet, "/tides/x")
+			}
+		})
+	}
+	impatient := &http.Client{Timeout: 50 * time.Millisecond}
+	for end := time.Now().Add(2 * poisonDuration); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		host := fmt.Sprintf("h%d", 1+rand.IntN(poisonDomains))
+		req, err := http.NewRequest(http.MethodGet, "http://"+f.hosts[host].Settings.CallerListen+poisonPath+"&work=100ms", nil)
+		is.NoErr(err)
+		perform(impatient, req)
+	}
+	others.Wait()
+	t.Logf("%d of %d targets ended", f.ended.Load(), poisonDomains*poisonTargets)
+	is.True(f.ended.Load() <= 3) // the request is recognised at the third target at the latest
+}
+
 // Guards against a poison request that ends targets again after its hosts have restarted.
 func TestPoisonStaysRefusedWhileHostsRestart(t *testing.T) {
 	is := is.New(t)
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -122,10 +122,20 @@
 	a.grant.Release(permit.Observation{
 		Outcome: outcome, FirstByte: a.firstByte, Total: total, Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
 		TargetAlive: cause == lossConnectionOnly, Responded: a.responded && !a.info.InstanceGone, RateLimit: a.info.RateLimit,
-		Leaving: a.info.Leaving,
+		Leaving: a.info.Leaving, Abandoned: a.isAbandoned(outcome),
 	})
 }
 
+// isAbandoned reports whether the request was sent and is given up with an outcome that does not show how it ends at the target. The loser
+// of a hedged request does not count: the other attempt shows that the request is answered.
+func (a *attempt) isAbandoned(outcome peerv1.ReleaseOutcome) bool {
+	if !a.mayHaveBeenSent() || errors.Is(context.Cause(a.ctx), errHedgeLost) {
+		return false
+	}
+	timedOut := outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR && !a.responded && a.ctx.Err() != nil
+	return timedOut || outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_CANCELLED
+}
+
 // assertFinished checks the invariant that the attempt is finished, and hence that its permit is released.
 func (a *attempt) assertFinished() {
 	if !a.finished.Load() {
--- a/pkg/entry/crash_test.go
+++ b/pkg/entry/crash_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -43,6 +46,65 @@
 	})
 }
 
+// Guards against a request that counts as run to its end, or as never sent, although its target may go on running it: the host closes the
+// connection when the caller leaves or the time is over, and hears nothing more.
+func TestAbandonedRequestsAreReported(t *testing.T) {
+	unreachable := func(w *fixture, _ *testing.T) { w.net.remove("t0") }
+	hanging := func(w *fixture, _ *testing.T) {
+		w.net.mu.Lock()
+		defer w.net.mu.Unlock()
+		w.net.hosts["t0"] = make(chan net.Conn) // accepts no connection and refuses none
+	}
+	hedged := func(w *fixture, t *testing.T) {
+		w.permits.hedgeAfter = 20 * time.Millisecond
+		w.net.serve(t, "t1", target.New(target.Options{}))
+		w.permits.targets = append(w.permits.targets, "t1")
+		w.targets[0].SetFaults(target.Faults{Freeze: true})
+	}
+	none := func(*fixture, *testing.T) {}
+	for _, c := range []struct {
+		name     string
+		setUp    func(w *fixture, t *testing.T)
+		work     string
+		patience time.Duration
+		want     bool
+	}{
+		{"caller left", none, "1s", 50 * time.Millisecond, true},
+		{"caller left during the body", none, "1ms&size=30000000", 50 * time.Millisecond, true},
+		{"deadline", none, "20s", 30 * time.Second, true},
+		{"answered", none, "1ms", time.Second, false},
+		{"not connected", hanging, "1s", 50 * time.Millisecond, false},
+		{"refused", unreachable, "1s", time.Second, false},
+		{"hedge lost", hedged, "1ms", 2 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newFixture(t, 1, nil)
+				c.setUp(w, t)
+				ctx, cancel := context.WithTimeout(t.Context(), c.patience)
+				defer cancel()
+				r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://entry/lookup/a?work="+c.work, nil)
+				if resp, err := w.client.Do(r); err == nil {
+					if c.want {
+						<-ctx.Done() // the caller does not read the body
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				is.True(len(w.permits.released) > 0)
+				abandoned := false
+				for _, o := range w.permits.released {
+					abandoned = abandoned || o.Abandoned
+				}
+				is.Equal(abandoned, c.want)
+			})
+		})
+	}
+}
+
 // Guards against a poison request that ends a second target before other failure domains have told this one of the targets that
 // its copies ended there, and against a delay of requests whose target lives.
 func TestRetryWaitsAfterTheTargetEnded(t *testing.T) {
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -220,6 +220,7 @@
 		TotalUs: uint64(r.observation.Total.Microseconds()), AnswerBytes: r.observation.Bytes,
 		Fingerprint: r.fingerprint, Route: r.route, SlowdownPercent: uint32(max(0, r.observation.SlowdownPercent)),
 		TargetAlive: r.observation.TargetAlive, TargetLeaving: r.observation.Leaving,
+		Abandoned: r.observation.Abandoned,
 	}
 	if r.observation.Responded {
 		msg.RateLimit = &r.observation.RateLimit
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -65,6 +65,9 @@
 	latency     latency
 	retryBudget tokenBucket
 	lossLog     *logging.Limiter
+	abandoned   abandonedRuns
+	// unreachableSince holds the targets that have not answered since they accepted no connection for the first time.
+	unreachableSince map[*target]time.Time
 	// slowSince is when the service as a whole became slow; zero if it is not slow.
 	slowSince   time.Time
 	hedgeBudget tokenBucket
@@ -100,8 +103,9 @@
 		slots: newSlotTable(), latency: newLatency(), hedgeBudget: tokenBucket{burst: hedgeBurst},
 		retryBudget: newRetryBudget(id, m.opts.RetryBurst),
 		lossLog:     logging.NewLimiter(lossLinesPerSecond),
-		classifier:  classifier{routes: map[string]*routeStats{}},
-		followers:   map[string]*follower{}, releasedEarly: map[permitKey]bool{},
+		abandoned:   newAbandonedRuns(), unreachableSince: map[*target]time.Time{},
+		classifier: classifier{routes: map[string]*routeStats{}},
+		followers:  map[string]*follower{}, releasedEarly: map[permitKey]bool{},
 		recentRefusals: recentRefusals{refusedAt: map[uint32]time.Time{}},
 		model:          placement.NewModel(maxRoutes),
 		metrics:        newDispatcherMetrics(m.scope, service),
@@ -207,26 +211,33 @@
 	d.hedgeRatio = d.hedgePercent() / 100
 	d.splitRetryBurst()
 	d.rampEnd = d.slots.configure(snap, d.service, d.manager.opts.FailureDomain, now)
+	for _, t := range d.slots.restarted {
+		d.targetEnded(t, now)
+	}
+	d.forgetClosed()
 	if _, total := d.slots.totals(); total == 0 {
 		d.refuseAll(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter)
 	}
 }
 
-// freeReplacedHolders frees the slots held by earlier incarnations of hosts that have restarted, since their requests ended
-// with the process.
+// freeReplacedHolders frees the slots held by earlier incarnations of hosts that have restarted: their connections ended with the process.
 func (d *dispatcher) freeReplacedHolders() {
 	for key, p := range d.slots.permits {
 		if m, ok := d.manager.opts.View.Lookup(p.holder.host); ok && m.Incarnation > p.holder.incarnation {
 			d.slots.free(key)
+			d.abandon(p, p.granted)
 		}
 	}
 }
 
-// processDue frees the slots of expired permits, refuses waiting requests that can no longer meet their deadline, and grants
+// processDue frees the slots of expired permits, looks for targets that have ended, refuses waiting requests that can no longer meet their deadline, and grants
 // the free slots.
 func (d *dispatcher) processDue(now time.Time) {
-	for d.slots.popExpired(now) != nil {
+	for p := d.slots.popExpired(now); p != nil; p = d.slots.popExpired(now) {
+		d.abandon(p, p.granted) // its holder may be lost
 	}
+	d.confirmEnds(now)
+	d.abandoned.sweep(now)
 	d.refuseOverdue(now)
 	d.refusePoison(now)
 	d.grantWaiting(now)
--- a/pkg/permit/handlers.go
+++ b/pkg/permit/handlers.go
@@ -94,6 +94,7 @@
 
 			SlowdownPercent: int(msg.GetSlowdownPercent()), TargetAlive: msg.GetTargetAlive(),
 			Responded: msg.RateLimit != nil, RateLimit: msg.GetRateLimit(), Leaving: msg.GetTargetLeaving(),
+			Abandoned: msg.GetAbandoned(),
 		},
 	}
 }
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -93,6 +93,9 @@
 	RateLimit float64
 	// Leaving is set if the target has stated that it is leaving.
 	Leaving bool
+	// Abandoned is set if the request was sent and its holder has given it up, because its caller has left or its deadline has passed.
+	// The target may go on running it.
+	Abandoned bool
 }
 
 // Acquirer grants permits.
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -19,16 +19,13 @@
 func (d *dispatcher) observeCrash(p *permit, r *release, now time.Time) {
 	switch r.observation.Outcome {
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_OK:
-		d.manager.poison.Answered(r.fingerprint)
+		d.observeAnswer(r)
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR:
 		if r.observation.Responded {
-			d.manager.poison.Answered(r.fingerprint)
+			d.observeAnswer(r)
 		}
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST:
-		started := now.Add(-r.observation.Total)
-		if p != nil && p.key.dispatcher == d.id {
-			started = p.granted
-		}
+		started := r.started(p, d.id, now)
 		if !r.observation.TargetAlive {
 			d.manager.poison.Crashed(r.fingerprint, poison.Crash{Target: r.target, Started: started, Ended: now})
 		}
@@ -36,6 +33,12 @@
 	}
 }
 
+// observeAnswer records that a target has answered the request.
+func (d *dispatcher) observeAnswer(r *release) {
+	d.manager.poison.Answered(r.fingerprint)
+	d.abandoned.answered(r.fingerprint)
+}
+
 // logLoss writes a line about a request that lost its connection.
 func (d *dispatcher) logLoss(r *release, started, now time.Time) {
 	ok, leftOut := d.lossLog.Allow(now)
@@ -76,7 +79,7 @@
 // isolation holds the restrictions for a request that may be poison. It runs at one target at a time, and not beside another such request:
 // if the target ends, the innocent requests there get their first strike and not their second.
 type isolation struct {
-	// running is set while another copy of the request is running.
+	// running is set while another copy of the request is running, or may be running although it was given up.
 	running bool
 	// occupied holds the targets that run other suspects.
 	occupied map[*target]bool
@@ -94,6 +97,17 @@
 			i.occupied[p.target] = true
 		}
 	}
+	for fingerprint, runs := range d.abandoned.byFingerprint {
+		if !d.manager.poison.IsSuspect(fingerprint, now) {
+			continue
+		}
+		for _, run := range runs {
+			if now.Before(run.until) {
+				i.running = i.running || fingerprint == w.req.Fingerprint
+				i.occupied[run.target] = true
+			}
+		}
+	}
 	return i
 }
 
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -77,6 +77,12 @@
 		d.closeLeaving(r.process(p))
 	}
 	d.observeCrash(p, r, now)
+	if t := d.slots.targets[r.target]; t != nil {
+		d.observeLife(t, r.observation, now)
+	}
+	if r.observation.Abandoned && p != nil {
+		d.abandon(p, r.started(p, d.id, now))
+	}
 	if p == nil && r.key.dispatcher != d.id {
 		d.releasedEarly[r.key] = true
 	}
@@ -87,6 +93,14 @@
 	d.observeRateLimit(p, r.observation, now)
 }
 
+// started returns when the request was sent: when its permit was granted, if this dispatcher did that.
+func (r *release) started(p *permit, self dispatcherID, now time.Time) time.Time {
+	if p != nil && p.key.dispatcher == self {
+		return p.granted
+	}
+	return now.Add(-r.observation.Total)
+}
+
 // process returns the process that gave the answer, as far as the permit tells; p is nil if the dispatcher does not hold it.
 func (r *release) process(p *permit) process {
 	if p == nil {
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -47,6 +47,8 @@
 	order    []*target
 	permits  map[permitKey]*permit
 	expiries expiryHeap
+	// restarted holds the targets that have another process since the last call of configure.
+	restarted []*target
 }
 
 func newSlotTable() *slotTable {
@@ -68,6 +70,7 @@
 // ramp of a drain is in progress, next is when it ends and configure must be called again for the same snapshot; otherwise next
 // is zero. Targets that were removed from the configuration are kept, closed, until their last permit is released.
 func (s *slotTable) configure(snap *config.Snapshot, key, failureDomain string, now time.Time) (next time.Time) {
+	s.restarted = nil
 	for _, t := range s.order {
 		t.closed = true
 		t.slots = 0
@@ -78,6 +81,9 @@
 		t := s.target(c.GetName())
 		t.address, t.instance, t.place = c.GetAddress(), c.GetInstance(), c.GetPlace()
 		t.slots = int(c.GetSlots())
+		if (process{t.name, t.config.GetStartedUnixMs()}).isOther(c.GetStartedUnixMs()) {
+			s.restarted = append(s.restarted, t)
+		}
 		t.applyConfig(c, snap.Service(service).GetColdRequestsPerSecond(), now)
 		t.closed = c.GetState() == configv1.TargetState_TARGET_STATE_DRAINING || drained(c.GetName()) || t.leaving
 	}
--- a/pkg/permit/target.go
+++ b/pkg/permit/target.go
@@ -33,6 +33,8 @@
 	speed         placement.Speed
 	// lastAnswer is when the target last responded to a request.
 	lastAnswer time.Time
+	// aliveAt is when the header of a response of the target was last read, and endedAt when it was last found to have ended.
+	aliveAt, endedAt time.Time
 	// awaitingWaiters counts the waiting requests whose awaitedTarget is this target.
 	awaitingWaiters int
 	// coldUntil is when the target stops being cold (still filling its caches). Until then cold limits its requests.
