Keep callers in their region while one of its two hosts restarts

Cause: a lookup that found fewer than two hosts in the region named the hosts of all regions in place of the one that it had found, and callers pick at random. Lookups did not know of home regions.

Change: lookups know the home regions of the virtual host. One host of the caller's region is enough for a caller with homes; without one it gets the hosts of the home regions. A caller without homes gets the host of its region and one other.

--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -82,8 +82,9 @@
 	addresses countShards
 	// valid is set once validation has found no problem.
 	valid atomic.Bool
-	// rules is built by the first call of Rule.
+	// rules and homes are built by the first call of Rule or HomeRegions.
 	rules     ruleIndex
+	homes     homeIndex
 	rulesOnce sync.Once
 }
 
--- a/pkg/lookup/nearest_test.go
+++ b/pkg/lookup/nearest_test.go
@@ -32,14 +32,48 @@
 		}
 		return counts
 	}
-	is.Equal(countByPlace(Nearest(all, "a", "north", 10)), map[string]int{"a": 3})
-	is.Equal(countByPlace(Nearest(all, "unknown", "north", 10)), map[string]int{"a": 3, "b": 3})
-	is.Equal(countByPlace(Nearest(all, "unknown", "unknown", 10)), map[string]int{"a": 3, "b": 3, "c": 3})
+	is.Equal(countByPlace(Nearest(all, Caller{Place: "a", Region: "north"}, 10)), map[string]int{"a": 3})
+	is.Equal(countByPlace(Nearest(all, Caller{Place: "unknown", Region: "north"}, 10)), map[string]int{"a": 3, "b": 3})
+	is.Equal(countByPlace(Nearest(all, Caller{Place: "unknown", Region: "unknown"}, 10)), map[string]int{"a": 3, "b": 3, "c": 3})
 	one := append(testHosts("a", "north", 1, membership.StateAlive), testHosts("b", "north", 3, membership.StateAlive)...)
-	is.Equal(len(Nearest(one, "a", "north", 10)), 4)
-	is.Equal(len(Nearest(all, "c", "south", 2)), 2)
-	is.Equal(len(Nearest(testHosts("a", "north", 2, membership.StateDead), "a", "north", 10)), 0)
-	is.Equal(len(Nearest(testHosts("a", "north", 2, membership.StateSuspect), "a", "north", 10)), 2)
+	is.Equal(len(Nearest(one, Caller{Place: "a", Region: "north"}, 10)), 4)
+	is.Equal(len(Nearest(all, Caller{Place: "c", Region: "south"}, 2)), 2)
+	is.Equal(len(Nearest(testHosts("a", "north", 2, membership.StateDead), Caller{Place: "a", Region: "north"}, 10)), 0)
+	is.Equal(len(Nearest(testHosts("a", "north", 2, membership.StateSuspect), Caller{Place: "a", Region: "north"}, 10)), 2)
+}
+
+// Guards against callers that send most of their requests out of their home region, or any of them, while one of its two hosts restarts
+// (review/5: one in nine requests of the run).
+func TestCallersWithHomesStayInTheirRegion(t *testing.T) {
+	others := append(testHosts("b", "south", 2, membership.StateAlive), testHosts("c", "west", 2, membership.StateAlive)...)
+	for _, c := range []struct {
+		name  string
+		hosts []membership.Member
+		homes []string
+		want  map[string]int
+	}{
+		{"two hosts", testHosts("a", "north", 2, membership.StateAlive), []string{"north"}, map[string]int{"north": 2}},
+		{"one host", testHosts("a", "north", 1, membership.StateAlive), []string{"north"}, map[string]int{"north": 1}},
+		{"one host, homes elsewhere", testHosts("a", "north", 1, membership.StateAlive), []string{"south"}, map[string]int{"north": 1}},
+		{"no host, homes elsewhere", nil, []string{"north", "west"}, map[string]int{"west": 2}},
+		{"no host in any home", nil, []string{"north"}, map[string]int{"south": 2, "west": 2}},
+		{"one host, no homes", testHosts("a", "north", 1, membership.StateAlive), nil, map[string]int{"north": 1, "other": 1}},
+		{"no host, no homes", nil, nil, map[string]int{"south": 2, "west": 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			members := append(append(c.hosts, testHosts("a", "north", 1, membership.StateLeaving)...), others...)
+			got := map[string]int{}
+			for _, m := range Nearest(members, Caller{Place: "a", Region: "north", Homes: c.homes}, 10) {
+				region := m.Region
+				if c.want["other"] > 0 && region != "north" {
+					region = "other"
+				}
+				got[region]++
+			}
+			is.Equal(got, c.want)
+		})
+	}
 }
 
 // Guards against an empty result, which callers take for a failed lookup, while a single host is alive: after all others were lost, or
@@ -47,11 +81,11 @@
 func TestSingleAliveHostIsFound(t *testing.T) {
 	is := is.New(t)
 	alive := testHosts("a", "north", 1, membership.StateAlive)
-	is.Equal(len(Nearest(alive, "a", "north", 10)), 1)
-	is.Equal(len(Nearest(alive, "c", "south", 10)), 1)
+	is.Equal(len(Nearest(alive, Caller{Place: "a", Region: "north"}, 10)), 1)
+	is.Equal(len(Nearest(alive, Caller{Place: "c", Region: "south"}, 10)), 1)
 	one := append(testHosts("b", "north", 1, membership.StateSuspect), alive...)
-	is.Equal(len(Nearest(one, "a", "north", 10)), 2)
-	is.Equal(len(Nearest(append(testHosts("b", "north", 3, membership.StateDead), alive...), "a", "north", 10)), 1)
+	is.Equal(len(Nearest(one, Caller{Place: "a", Region: "north"}, 10)), 2)
+	is.Equal(len(Nearest(append(testHosts("b", "north", 3, membership.StateDead), alive...), Caller{Place: "a", Region: "north"}, 10)), 1)
 }
 
 // Guards against a selection that ignores Capacity, so that small hosts get as many callers as large ones.
@@ -64,7 +98,7 @@
 	list[0].Capacity = 800
 	named := map[string]int{}
 	for range 2000 {
-		for _, m := range Nearest(list, "a", "north", 3) {
+		for _, m := range Nearest(list, Caller{Place: "a", Region: "north"}, 3) {
 			named[m.Host]++
 		}
 	}
@@ -78,9 +112,9 @@
 	for i := range cutOff {
 		cutOff[i].TargetsUnreachable = true
 	}
-	is.Equal(len(Nearest(cutOff, "a", "north", 10)), 3)
+	is.Equal(len(Nearest(cutOff, Caller{Place: "a", Region: "north"}, 10)), 3)
 	all := append(cutOff, testHosts("b", "north", 2, membership.StateAlive)...)
-	for _, m := range Nearest(all, "a", "north", 10) {
+	for _, m := range Nearest(all, Caller{Place: "a", Region: "north"}, 10) {
 		is.Equal(m.Place, "b")
 	}
 }
