Keep a test of abandoned requests from racing with its target

The stand-in of targets answers at the deadline that it is told, at the same moment as the host gives the request up: once the answer came first, and the case failed.

--- a/pkg/entry/crash_test.go
+++ b/pkg/entry/crash_test.go
@@ -61,6 +61,10 @@
 		w.permits.targets = append(w.permits.targets, "t1")
 		w.targets[0].SetFaults(target.Faults{Freeze: true})
 	}
+	// The target answers later than the deadline, which the stand-in of targets does not.
+	late := func(w *fixture, t *testing.T) {
+		w.net.serve(t, "t0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Second) }))
+	}
 	none := func(*fixture, *testing.T) {}
 	for _, c := range []struct {
 		name     string
@@ -71,7 +75,7 @@
 	}{
 		{"caller left", none, "1s", 50 * time.Millisecond, true},
 		{"caller left during the body", none, "1ms&size=30000000", 50 * time.Millisecond, true},
-		{"deadline", none, "20s", 30 * time.Second, true},
+		{"deadline", late, "20s", 30 * time.Second, true},
 		{"answered", none, "1ms", time.Second, false},
 		{"not connected", hanging, "1s", 50 * time.Millisecond, false},
 		{"refused", unreachable, "1s", time.Second, false},
