--- a/pkg/permit/abandoned.go
+++ b/pkg/permit/abandoned.go
@@ -97,20 +97,20 @@
 		return
 	}
 	run := abandonedRun{target: p.target, started: started, until: p.expires.Add(abandonedMargin)}
-	if run.mayHaveEnded(p.target.endedAt) {
-		d.blameRun(p.fingerprint, run, p.target.endedAt)
+	if run.mayHaveRunAt(p.target.endedAt) {
+		d.recordCrash(p.fingerprint, run, p.target.endedAt)
 		return
 	}
 	d.abandoned.add(p.fingerprint, run)
 }
 
-// mayHaveEnded reports whether the target may have run the request when it ended at a time; zero if it has not ended.
-func (r abandonedRun) mayHaveEnded(at time.Time) bool {
-	return at.After(r.started) && !r.target.aliveAt.After(r.until)
+// mayHaveRunAt reports whether the target may have run the request when it ended. The end is zero if the target has not ended.
+func (r abandonedRun) mayHaveRunAt(end time.Time) bool {
+	return end.After(r.started) && !r.target.aliveAt.After(r.until)
 }
 
-// blameRun records that a target ended while it may have run an abandoned request.
-func (d *dispatcher) blameRun(fingerprint uint64, run abandonedRun, ended time.Time) {
+// recordCrash counts the end of a target as a crash of an abandoned request that it may have run.
+func (d *dispatcher) recordCrash(fingerprint uint64, run abandonedRun, ended time.Time) {
 	d.manager.poison.Crashed(fingerprint, poison.Crash{Target: run.target.name, Started: run.started, Ended: ended})
 	if ok, leftOut := d.lossLog.Allow(ended); ok {
 		log.Info().Str("step", "poison").Str("service", d.service).Str("target", run.target.name).
@@ -119,8 +119,8 @@
 	}
 }
 
-// observeLife records what a release shows about the life of a target, for the runs that were abandoned there.
-func (d *dispatcher) observeLife(t *target, o Observation, now time.Time) {
+// observeLiveness records whether a release shows that its target is alive, or that it may have ended.
+func (d *dispatcher) observeLiveness(t *target, o Observation, now time.Time) {
 	switch {
 	case o.Outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_OK || o.Responded:
 		t.aliveAt = now
@@ -141,8 +141,8 @@
 	}
 }
 
-// targetEnded blames the abandoned requests that a target may have run when it ended. The planned end of a target that is closed shows
-// nothing about them.
+// targetEnded counts the end of a target as a crash of the abandoned requests that it may have run then. The planned end of a target that is
+// closed shows nothing about them.
 func (d *dispatcher) targetEnded(t *target, at time.Time) {
 	delete(d.unreachableSince, t)
 	if t.closed {
@@ -153,8 +153,8 @@
 		if run.target != t {
 			return false
 		}
-		if run.mayHaveEnded(at) {
-			d.blameRun(fingerprint, run, at)
+		if run.mayHaveRunAt(at) {
+			d.recordCrash(fingerprint, run, at)
 		}
 		return true
 	})
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -230,8 +230,8 @@
 	}
 }
 
-// processDue frees the slots of expired permits, looks for targets that have ended, refuses waiting requests that can no longer meet their deadline, and grants
-// the free slots.
+// processDue frees the slots of expired permits, finds out which targets have ended, refuses waiting requests that can no longer meet their
+// deadline, and grants the free slots.
 func (d *dispatcher) processDue(now time.Time) {
 	for p := d.slots.popExpired(now); p != nil; p = d.slots.popExpired(now) {
 		d.abandon(p, p.granted) // its holder may be lost
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -78,7 +78,7 @@
 	}
 	d.observeCrash(p, r, now)
 	if t := d.slots.targets[r.target]; t != nil {
-		d.observeLife(t, r.observation, now)
+		d.observeLiveness(t, r.observation, now)
 	}
 	if r.observation.Abandoned && p != nil {
 		d.abandon(p, r.started(p, d.id, now))
