Treat a target that answers again as cold until its entry is known

Cause: a target that accepted no connection was used in full as soon as it answered one request, up to 0.8 s before the host read the entry that says that it is cold.

Change: it counts as cold for 1.5 s when it answers again.

TestTargetThatComesBackIsColdAtFirst fails without the change.

--- a/pkg/permit/cold.go
+++ b/pkg/permit/cold.go
@@ -13,6 +13,10 @@
 // bucket, because its predecessor may just have spent the tokens.
 const coldBurst = 2
 
+// returnColdTime is how long a target that accepted no connection counts as cold once it answers again. It may have restarted, and the
+// configuration says so a moment later.
+const returnColdTime = 1500 * time.Millisecond
+
 // applyConfig applies the configuration of a target. c is the same object while the configuration of the target is unchanged, so
 // that the cold period starts only once.
 func (t *target) applyConfig(c *configv1.Target, coldPerSecond float64, now time.Time) {
@@ -34,6 +38,18 @@
 	t.cold = rateBucket{rate: coldPerSecond, burst: coldBurst, refilledAt: now}
 }
 
+// startReturnCold limits the requests to a target that answers again after it accepted no connection.
+func (t *target) startReturnCold(now time.Time) {
+	until := now.Add(returnColdTime)
+	if !until.After(t.coldUntil) {
+		return
+	}
+	if !now.Before(t.coldUntil) {
+		t.cold = rateBucket{rate: t.cold.rate, burst: coldBurst, refilledAt: now}
+	}
+	t.coldUntil = until
+}
+
 // allowsColdRequest reports whether the target may get a request as far as its cold caches are concerned. A target that is not cold
 // always may.
 func (t *target) allowsColdRequest(now time.Time) bool {
--- a/pkg/permit/straggler.go
+++ b/pkg/permit/straggler.go
@@ -150,6 +150,9 @@
 	case peerv1.ReleaseOutcome_RELEASE_OUTCOME_OK, peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR,
 		peerv1.ReleaseOutcome_RELEASE_OUTCOME_SHED:
 		t.lastAnswer = now
+		if h.down {
+			t.startReturnCold(now)
+		}
 		h.down = false
 	}
 	return false
--- a/pkg/permit/unreachable_test.go
+++ b/pkg/permit/unreachable_test.go
@@ -48,6 +48,44 @@
 	})
 }
 
+// Guards against a flood of requests to a target that has restarted with cold caches, in the time until the configuration says so
+// (review/standin cold-return: 23 requests within a second, 16.4 allowed).
+func TestTargetThatComesBackIsColdAtFirst(t *testing.T) {
+	objects := permittest.Objects(permittest.Service{Name: "lookup", Domain: "d1", Targets: 2, Slots: 4})
+	const coldPerSecond = 8
+	objects[0].GetService().ColdRequestsPerSecond = coldPerSecond
+	run(t, 1, 2, objects, func(d *domain, is *is.I) {
+		h := d.Hosts()[0]
+		back := time.Now().Add(2 * time.Second)
+		var arrivals []time.Time
+		for time.Since(back) < 4*time.Second {
+			g, err := h.Acquire(context.Background(), d.request("lookup", time.Second))
+			is.NoErr(err)
+			outcome := ok
+			if g.Target == "lookup-0" {
+				if time.Now().Before(back) {
+					outcome = unreachable
+				} else {
+					arrivals = append(arrivals, time.Now())
+				}
+			}
+			d.pending.Go(func() {
+				time.Sleep(5 * time.Millisecond)
+				g.Release(permit.Observation{Outcome: outcome, Total: 5 * time.Millisecond, Responded: outcome == ok})
+			})
+			time.Sleep(4 * time.Millisecond)
+		}
+		first := 0
+		for _, at := range arrivals {
+			if at.Sub(arrivals[0]) < time.Second {
+				first++
+			}
+		}
+		is.True(first <= coldPerSecond+2+1) // the rate, the burst, and the probe
+		is.True(len(arrivals) > 100)        // it is used as before later
+	})
+}
+
 // Guards against requests that wait until their deadline although no target accepts connections.
 func TestNoReachableTargetIsRefusedAtOnce(t *testing.T) {
 	one := permittest.Service{Name: "lookup", Domain: "d1", Targets: 1, Slots: 4}
