Let the end of an evacuation wait for the entries of its targets

Cause: the operators' table is read at once after a change, the targets' table every 800 ms. So the end of the evacuation was in force on a copy of the entries from before it.

Change: the deletion of an operators' row is in force once the copy of the targets' table has all changes up to it, after 3 s at most.

--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -13,6 +13,13 @@
 // restoring the row.
 const tombstoneRetention = time.Minute
 
+const (
+	// maxDeletionDelay is how long a deletion waits for another table, which may not be readable.
+	maxDeletionDelay = 3 * time.Second
+	// deletionRecheck is the time between two checks whether the deletion of a row is in force.
+	deletionRecheck = 50 * time.Millisecond
+)
+
 // Table is the local copy of a platform table that other programs write. The version of a row never decreases.
 type Table struct {
 	name string
@@ -20,6 +27,8 @@
 	equivalent func(a, b []byte) bool
 	// supersedes reports whether the content of a value shows that it was written after another one.
 	supersedes func(next, current []byte) bool
+	// deleteAfter is the table for which deletions wait, or nil.
+	deleteAfter *Table
 
 	mu sync.Mutex
 	// rows includes tombstones.
@@ -44,8 +53,9 @@
 	from string
 	// graceUntil is the end of the time for which a deleted row is still returned by Rows, or zero.
 	graceUntil time.Time
-	// deletedAt is when this host received the deletion.
-	deletedAt time.Time
+	// deletedAt is when this host received the deletion. wasPresent is set if the row was present until then.
+	deletedAt  time.Time
+	wasPresent bool
 }
 
 func newTable(name string, equivalent func(a, b []byte) bool) *Table {
@@ -61,19 +71,20 @@
 	From string
 }
 
-// Rows returns, by key, the rows that are present at the given time or in their grace period. next is the end of the first
-// grace period, or zero. loaded is false until the table has been read once.
+// Rows returns, by key, the rows that are present at the given time, in their grace period, or waiting for another table. next is when the
+// first of them may end to be so, or zero. loaded is false until the table has been read once.
 func (t *Table) Rows(now time.Time) (rows map[string]Row, next time.Time, loaded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rows = make(map[string]Row, len(t.rows))
 	for key, r := range t.rows {
 		if r.deleted {
-			if !now.Before(r.graceUntil) {
+			until := t.presentUntil(r, now)
+			if !now.Before(until) {
 				continue
 			}
-			if next.IsZero() || r.graceUntil.Before(next) {
-				next = r.graceUntil
+			if next.IsZero() || until.Before(next) {
+				next = until
 			}
 		}
 		rows[key] = Row{r.value, r.version, r.from}
@@ -81,6 +92,15 @@
 	return rows, next, t.version > 0
 }
 
+// presentUntil returns until when a deleted row counts as present, as far as is known at the given time. t.mu must be held.
+func (t *Table) presentUntil(r *row, now time.Time) time.Time {
+	waits := t.deleteAfter != nil && r.wasPresent && now.Sub(r.deletedAt) < maxDeletionDelay && t.deleteAfter.position() < r.version
+	if recheck := now.Add(deletionRecheck); waits && recheck.After(r.graceUntil) {
+		return recheck
+	}
+	return r.graceUntil
+}
+
 // Changed returns a channel that is closed at the next change of a row to a value that is not equivalent, and when the table
 // has been read for the first time.
 func (t *Table) Changed() <-chan struct{} {
@@ -221,6 +241,7 @@
 		return false
 	}
 	current.version, current.changedVersion, current.deleted, current.deletedAt = version, version, true, now
+	current.wasPresent = true
 	if until := t.recoveredAt.Add(expiryGrace); !t.recoveredAt.IsZero() && until.After(now) {
 		current.graceUntil = until
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -54,6 +54,32 @@
 	is.Equal(values(table, now), map[string]string{"b": "1"})
 }
 
+// Guards against a deletion that is in force before the rows of another table as of that moment are known, and against one that waits for a
+// table which cannot be read, or that makes a row present that never was.
+func TestDeletionsWaitForAnotherTable(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	other, table := newTable("other", equal), newTable("t", equal)
+	table.deleteAfter = other
+	other.merge(update{rows: []store.WatchedRow{put("x", "1", 1)}, version: 1}, now)
+	table.merge(update{rows: []store.WatchedRow{put("a", "1", 2), put("b", "1", 3)}, version: 3}, now)
+	deleted := func(key string, version uint64) {
+		table.merge(update{rows: []store.WatchedRow{{Key: key, Version: version, Deleted: true}}, version: version}, now)
+	}
+	deleted("a", 5)
+	deleted("never present", 6)
+	is.Equal(values(table, now), map[string]string{"a": "1", "b": "1"})
+	_, next, _ := table.Rows(now)
+	is.Equal(next, now.Add(deletionRecheck))
+	other.merge(update{version: 4}, now)
+	is.Equal(len(values(table, now)), 2)
+	other.merge(update{version: 7}, now)
+	is.Equal(values(table, now), map[string]string{"b": "1"})
+	deleted("b", 9)
+	is.Equal(values(table, now.Add(maxDeletionDelay-1)), map[string]string{"b": "1"})
+	is.Equal(len(values(table, now.Add(maxDeletionDelay))), 0)
+}
+
 // Guards against dropping all targets when their entries expired during an outage of the platform. Live targets are back
 // within expiryGrace; one that is still missing then is gone.
 func TestExpiredRowsHaveAGracePeriodAfterAnOutage(t *testing.T) {
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -60,6 +60,9 @@
 	Equivalent func(a, b []byte) bool
 	// Supersedes reports whether the content of a value shows that it was written after another one. Nil means that no content does.
 	Supersedes func(next, current []byte) bool
+	// DeleteAfter is a table of which the copy must have all changes up to the deletion of a row before the deletion is in force: until
+	// then, for maxDeletionDelay at most, the row stays present. Nil means that deletions are in force at once.
+	DeleteAfter *Table
 }
 
 // Options are the dependencies of a Follower.
@@ -108,6 +111,7 @@
 	if o.Supersedes != nil {
 		t.supersedes = o.Supersedes
 	}
+	t.deleteAfter = o.DeleteAfter
 	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
 	f.tables = append(f.tables, &followedTable{TableOptions: o, Table: t, age: age})
 	return t
