--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
@@ -257,59 +256,3 @@
 		}
 	}
 }
-
-// rowsSince returns a message with the rows and tombstones that have changed since a version. It leaves out rows that got
-// equivalent values, which are most of them: programs update their rows all the time. If tombstones after that version are missing,
-// the message has no version, so that the receiver reads the deletions from the platform.
-func (t *Table) rowsSince(after uint64, now time.Time) *peerv1.WatchedTable {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := &peerv1.WatchedTable{
-		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
-	}
-	if after > 0 && after < t.purgedVersion {
-		m.Version, m.AgeMs = 0, 0
-	}
-	for key, r := range t.rows {
-		if r.changedVersion > after {
-			m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: key, Value: r.value, Version: r.version, Deleted: r.deleted})
-		}
-	}
-	return m
-}
-
-// rowsMessage returns a message with some rows. It has no version, because it lacks the rows that changed to an equivalent
-// value: the receiver must not advance its position.
-func (t *Table) rowsMessage(rows []store.WatchedRow, now time.Time) *peerv1.WatchedTable {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := &peerv1.WatchedTable{Table: t.name, ReturnedMs: t.recoveredMs(now)}
-	for _, r := range rows {
-		m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-	}
-	return m
-}
-
-// recoveredMs returns the time since the end of the last outage in milliseconds, at least 1, or 0 if expiryGrace has passed.
-// t.mu must be held.
-func (t *Table) recoveredMs(now time.Time) uint32 {
-	elapsed := now.Sub(t.recoveredAt)
-	if t.recoveredAt.IsZero() || elapsed >= expiryGrace {
-		return 0
-	}
-	return uint32(elapsed.Milliseconds()) + 1
-}
-
-// decodeUpdate converts a message of a peer.
-func decodeUpdate(m *peerv1.WatchedTable, from string) update {
-	u := update{
-		from: from, version: m.GetVersion(), age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
-	}
-	for _, r := range m.GetRows() {
-		u.rows = append(u.rows, store.WatchedRow{
-			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
-		})
-	}
-	return u
-}
