Handle signals that come while the process starts

Found by reading for the new soak: SIGHUP was ignored and SIGTERM awaited only after all modules had started. A signal before that ended the process by its default action, and the start takes half a second when the platform does not answer.

Change: both are set up before the modules start; SIGTERM takes effect after the start.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -67,13 +67,18 @@
 }
 
 // run starts the modules, waits for SIGTERM or SIGINT, and stops them. A second signal ends the announce time and the wait for
-// requests in flight.
+// requests in flight. A signal during the start takes effect after it.
 func run(ctx context.Context, s settings.Settings) error {
 	logWriter := logging.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	configureLog(s, logWriter)
 	setMaxProcs(s.MaxProcs)
 	defer startHeapTuner(uint64(s.HeapTargetMiB) << 20).stop()
+	// Signals may come while the modules start. Settings are read only at the start, so SIGHUP has nothing to reload; its default action
+	// would end the process.
+	signal.Ignore(syscall.SIGHUP)
+	signalled, stopWaiting := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stopWaiting()
 	app, err := kernel.NewApp(s)
 	if err != nil {
 		return err
@@ -84,9 +89,6 @@
 	}
 	log.Info().Str("step", "start").Str("callers", s.CallerListen).Str("operators", s.OperatorListen).
 		Str("peers", s.PeerListen).Msg("ready")
-	// Settings are read only at the start, so SIGHUP has nothing to reload; its default action would end the process.
-	signal.Ignore(syscall.SIGHUP)
-	signalled, stopWaiting := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	<-signalled.Done()
 	stopWaiting()
 	return stop(ctx, app, s)
--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -33,8 +33,10 @@
 	// previous is the path of the daemon of another version, with which each host starts for the first time; empty for none.
 	previous string
 	started  map[string]bool
-	hosts    []processHost
-	targets  []string
+	// hostFlags are further flags of all hosts.
+	hostFlags []string
+	hosts     []processHost
+	targets   []string
 }
 
 // process is a running program. done is closed when it has exited, and err is the result then.
@@ -119,9 +121,12 @@
 }
 
 func (p *processFleet) startHost(h processHost) {
-	p.start(h.name, p.daemonOf(h), "--host", h.name, "--failure-domain", h.domain, "--region", h.region,
-		"--caller-listen", h.ip+":8080", "--operator-listen", h.ip+":8081", "--peer-listen", h.ip+":8082",
-		"--platform-url", "http://"+p.network+"1:8080", "--announce-for", "1s", "--log-level", "warn")
+	flags := []string{
+		"--host", h.name, "--failure-domain", h.domain, "--region", h.region,
+		"--caller-listen", h.ip + ":8080", "--operator-listen", h.ip + ":8081", "--peer-listen", h.ip + ":8082",
+		"--platform-url", "http://" + p.network + "1:8080", "--announce-for", "1s", "--log-level", "warn",
+	}
+	p.start(h.name, p.daemonOf(h), append(flags, p.hostFlags...)...)
 }
 
 // daemonOf returns the program to start a host with: the previous version for its first start, if there is one.
