--- a/pkg/permit/abandoned.go
+++ b/pkg/permit/abandoned.go
@@ -66,6 +66,17 @@
 	delete(a.byFingerprint, fingerprint)
 }
 
+// each calls f for each run that may not be over yet.
+func (a *abandonedRuns) each(now time.Time, f func(fingerprint uint64, t *target)) {
+	for fingerprint, runs := range a.byFingerprint {
+		for _, run := range runs {
+			if now.Before(run.until) {
+				f(fingerprint, run.target)
+			}
+		}
+	}
+}
+
 // removeFunc removes the runs for which remove returns true.
 func (a *abandonedRuns) removeFunc(remove func(fingerprint uint64, run abandonedRun) bool) {
 	for fingerprint, runs := range a.byFingerprint {
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -91,23 +91,16 @@
 		return isolation{}
 	}
 	i := isolation{occupied: map[*target]bool{}}
-	for _, p := range d.slots.permits {
-		i.running = i.running || p.fingerprint == w.req.Fingerprint
-		if d.manager.poison.IsSuspect(p.fingerprint, now) {
-			i.occupied[p.target] = true
+	add := func(fingerprint uint64, t *target) {
+		i.running = i.running || fingerprint == w.req.Fingerprint
+		if d.manager.poison.IsSuspect(fingerprint, now) {
+			i.occupied[t] = true
 		}
 	}
-	for fingerprint, runs := range d.abandoned.byFingerprint {
-		if !d.manager.poison.IsSuspect(fingerprint, now) {
-			continue
-		}
-		for _, run := range runs {
-			if now.Before(run.until) {
-				i.running = i.running || fingerprint == w.req.Fingerprint
-				i.occupied[run.target] = true
-			}
-		}
+	for _, p := range d.slots.permits {
+		add(p.fingerprint, p.target)
 	}
+	d.abandoned.each(now, add)
 	return i
 }
 
