Return the targets that have restarted instead of keeping them

The slot table kept the result of its last call of configure in a field for one reader. No change of behaviour; go test ./pkg/permit passes.

--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -103,12 +103,13 @@
 		slots: newSlotTable(), latency: newLatency(), hedgeBudget: tokenBucket{burst: hedgeBurst},
 		retryBudget: newRetryBudget(id, m.opts.RetryBurst),
 		lossLog:     logging.NewLimiter(lossLinesPerSecond),
-		abandoned:   newAbandonedRuns(), unreachableSince: map[*target]time.Time{},
-		classifier: classifier{routes: map[string]*routeStats{}},
-		followers:  map[string]*follower{}, releasedEarly: map[permitKey]bool{},
-		recentRefusals: recentRefusals{refusedAt: map[uint32]time.Time{}},
-		model:          placement.NewModel(maxRoutes),
-		metrics:        newDispatcherMetrics(m.scope, service),
+		abandoned:   newAbandonedRuns(),
+		classifier:  classifier{routes: map[string]*routeStats{}},
+		followers:   map[string]*follower{}, releasedEarly: map[permitKey]bool{},
+		unreachableSince: map[*target]time.Time{},
+		recentRefusals:   recentRefusals{refusedAt: map[uint32]time.Time{}},
+		model:            placement.NewModel(maxRoutes),
+		metrics:          newDispatcherMetrics(m.scope, service),
 		balance: balance.New(balance.Options{
 			Domain: m.opts.FailureDomain, Region: m.self.Region, ShiftShare: m.opts.ShiftShare, ShiftWindow: m.opts.ShiftWindow,
 		}),
@@ -210,8 +211,9 @@
 	d.snap = snap
 	d.hedgeRatio = d.hedgePercent() / 100
 	d.splitRetryBurst()
-	d.rampEnd = d.slots.configure(snap, d.service, d.manager.opts.FailureDomain, now)
-	for _, t := range d.slots.restarted {
+	restarted, rampEnd := d.slots.configure(snap, d.service, d.manager.opts.FailureDomain, now)
+	d.rampEnd = rampEnd
+	for _, t := range restarted {
 		d.targetEnded(t, now)
 	}
 	d.forgetClosed()
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -47,8 +47,6 @@
 	order    []*target
 	permits  map[permitKey]*permit
 	expiries expiryHeap
-	// restarted holds the targets that have another process since the last call of configure.
-	restarted []*target
 }
 
 func newSlotTable() *slotTable {
@@ -68,9 +66,9 @@
 
 // configure applies the targets of a configuration snapshot and closes those that a drain takes out of service at now. If the
 // ramp of a drain is in progress, next is when it ends and configure must be called again for the same snapshot; otherwise next
-// is zero. Targets that were removed from the configuration are kept, closed, until their last permit is released.
-func (s *slotTable) configure(snap *config.Snapshot, key, failureDomain string, now time.Time) (next time.Time) {
-	s.restarted = nil
+// is zero. restarted holds the targets that have another process than before. Targets that were removed from the configuration are kept,
+// closed, until their last permit is released.
+func (s *slotTable) configure(snap *config.Snapshot, key, failureDomain string, now time.Time) (restarted []*target, next time.Time) {
 	for _, t := range s.order {
 		t.closed = true
 		t.slots = 0
@@ -82,7 +80,7 @@
 		t.address, t.instance, t.place = c.GetAddress(), c.GetInstance(), c.GetPlace()
 		t.slots = int(c.GetSlots())
 		if (process{t.name, t.config.GetStartedUnixMs()}).isOther(c.GetStartedUnixMs()) {
-			s.restarted = append(s.restarted, t)
+			restarted = append(restarted, t)
 		}
 		t.applyConfig(c, snap.Service(service).GetColdRequestsPerSecond(), now)
 		t.closed = c.GetState() == configv1.TargetState_TARGET_STATE_DRAINING || drained(c.GetName()) || t.leaving
@@ -97,7 +95,7 @@
 		kept = append(kept, t)
 	}
 	s.order = kept
-	return next
+	return restarted, next
 }
 
 // limitLongSlots sets the number of slots that long requests may occupy at each target, as a percentage of its slots rounded
