--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -30,51 +30,38 @@
 // are not enough others. Leaving and dead hosts are never returned. The order is random, weighted by the processor time (Capacity) of
 // the hosts, so that larger hosts get more callers.
 func Nearest(members []membership.Member, caller Caller, limit int) []membership.Member {
-	candidates := nearby(members, caller)
-	if len(candidates) == 0 {
-		candidates = addFarther(members, caller)
-	}
-	return pick(candidates, limit)
+	return pick(candidates(members, caller), limit)
 }
 
-// nearby returns the hosts to which the requests of a caller should go, or nothing if there are not enough.
-func nearby(members []membership.Member, caller Caller) []membership.Member {
+// candidates returns the hosts from which Nearest picks.
+func candidates(members []membership.Member, caller Caller) []membership.Member {
 	place := usable(members, func(m membership.Member) bool { return m.Place == caller.Place })
 	if len(place) >= minNearby {
 		return place
 	}
-	region := usable(members, caller.isNear)
-	if len(region) >= minNearby {
-		return region
-	}
-	if len(caller.Homes) == 0 {
-		return nil
+	near := usable(members, caller.isNear)
+	if len(near) >= minNearby || len(near) > 0 && len(caller.Homes) > 0 {
+		return near
 	}
-	if len(region) > 0 {
-		return region
+	if home := usable(members, caller.isHome); len(home) > 0 {
+		return home
 	}
-	return usable(members, func(m membership.Member) bool { return slices.Contains(caller.Homes, m.Region) })
-}
-
-// addFarther returns the hosts of a caller's region, and as many others as minNearby asks for. If there is no host in the region, it returns
-// the hosts of all regions.
-func addFarther(members []membership.Member, caller Caller) []membership.Member {
-	all := usable(members, func(membership.Member) bool { return true })
-	if len(all) < minNearby {
+	far := usable(members, func(m membership.Member) bool { return !caller.isNear(m) })
+	switch {
+	case len(near)+len(far) < minNearby:
 		return filter(members, func(m membership.Member) bool {
 			return m.State == membership.StateAlive || m.State == membership.StateSuspect
 		})
+	case len(near) == 0:
+		return far
 	}
-	near := usable(members, caller.isNear)
-	if len(near) == 0 {
-		return all
-	}
-	far := usable(members, func(m membership.Member) bool { return !caller.isNear(m) })
 	return append(near, pick(far, minNearby-len(near))...)
 }
 
 func (c Caller) isNear(m membership.Member) bool { return m.Region == c.Region }
 
+func (c Caller) isHome(m membership.Member) bool { return slices.Contains(c.Homes, m.Region) }
+
 // usable returns the alive members that reach targets and for which keep returns true.
 func usable(members []membership.Member, keep func(membership.Member) bool) []membership.Member {
 	return filter(members, func(m membership.Member) bool { return m.IsUsable() && keep(m) })
