Share the requests and changes of the soaks

The soak of late requests built its requests, its changes and its check of a refused connection as the one of planned work does, and one of the two used the other's type for a function that needs only the fleet. Its poison test drew hosts without a seed. No assertion has changed; go test -run 'LateRequests|PlannedWork|Impatient' ./pkg/daemon passes.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	$(GO) test -race -timeout 20m -skip '$(KNOWN_RED)' ./...
 
 # Real processes under random faults, for about four seconds a round, and then SOAK_SERIES series of planned stops beside changes of the
-# configuration, for 15 seconds each, and of stops that overlap under long requests, for 25 seconds each. SOAK_SEED repeats an order of faults, and is the seed of the first series.
+# configuration, for 15 seconds each, and of stops that overlap under long requests, for 25 seconds each. SOAK_SEED repeats an order of
+# faults, and is the seed of the first series.
 SOAK_ROUNDS ?= 100
 SOAK_SERIES ?= 50
 SOAK_SEED ?= $(shell date +%s)
--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -288,6 +289,12 @@
 	return perform(http.DefaultClient, req)
 }
 
+// notConnected reports whether no connection to the host could be opened.
+func (o outcome) notConnected() bool {
+	var op *net.OpError
+	return errors.As(o.err, &op) && op.Op == "dial"
+}
+
 func perform(client *http.Client, req *http.Request) outcome {
 	resp, err := client.Do(req)
 	if err != nil {
--- a/pkg/daemon/late_soak_test.go
+++ b/pkg/daemon/late_soak_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -80,9 +77,8 @@
 
 // change changes the configuration in quick succession until ctx ends.
 func (s *lateSoak) change(ctx context.Context, rnd *rand.Rand) {
-	w := &plannedWork{p: s.p}
 	for n := 0; sleep.For(ctx, time.Duration(rnd.IntN(1000))*time.Millisecond); n++ {
-		w.apply(rnd, fmt.Sprintf("change-%d", n), []*configv1.Object{service(fmt.Sprintf("other-%d", n%5))})
+		s.p.applyAtRandomHost(rnd, fmt.Sprintf("change-%d", n), []*configv1.Object{service(fmt.Sprintf("other-%d", n%5))})
 	}
 }
 
@@ -109,16 +105,12 @@
 		work, timeout = time.Duration(rnd.Int64N(int64(lateLongWork))), lateLongTimeout
 	}
 	url := fmt.Sprintf("%s/%s/x?work=%dms&size=3000", h.caller(), kind, work.Milliseconds())
-	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	req, err := countedRequest(url, id, timeout)
 	if err != nil {
 		s.problem("%v", err)
 		return false
 	}
 	req.Host = lateSoakHost
-	req.Header.Set(target.HeaderRequestID, id)
-	// Targets count executions by this header. In its canonical form it would make net/http repeat the request.
-	req.Header[strings.ToLower(reply.HeaderKey)] = []string{id}
-	req.Header.Set(reply.HeaderTimeout, fmt.Sprint(timeout.Seconds()))
 	sent := time.Now()
 	got := perform(client, req)
 	if kind == "command" {
@@ -140,9 +132,8 @@
 func (s *lateSoak) check(what, id string, deadlinePassed bool, got outcome) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var dial *net.OpError
 	switch {
-	case errors.As(got.err, &dial) && dial.Op == "dial":
+	case got.notConnected():
 		s.notRun = append(s.notRun, id)
 		return false
 	case got.err != nil && got.status == 0: // it crossed the close of the connection, or was cut
--- a/pkg/daemon/planned_test.go
+++ b/pkg/daemon/planned_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,14 +11,11 @@
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
-	operatorv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1/operatorv1connect"
 	"github.com/rattanhitch/rattanhitch/pkg/lookup"
 )
 
@@ -107,7 +102,7 @@
 		name := fmt.Sprintf("extra-%d", i)
 		change := []*configv1.Object{readService(name), w.p.startTarget(10+i, name, "d2", targetSlots)}
 		w.p.waitFor("target", func() bool { return w.p.allRespond([]string{"http://" + w.p.targets[len(w.p.targets)-1] + "/load"}) })
-		w.p.waitFor("change "+name, func() bool { return w.apply(rnd, name, change) })
+		w.p.waitFor("change "+name, func() bool { return w.p.applyAtRandomHost(rnd, name, change) })
 		w.mu.Lock()
 		w.confirmed[name] = time.Now()
 		w.mu.Unlock()
@@ -116,19 +111,6 @@
 	time.Sleep(inForceLimit + time.Second)
 }
 
-// apply commits a change through a random host. It is repeated with the same request ID if that host stops.
-func (w *plannedWork) apply(rnd *rand.Rand, id string, objects []*configv1.Object) bool {
-	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, w.p.randomHost(rnd).operator())
-	request := &operatorv1.ApplyRequest{RequestId: id}
-	for _, o := range objects {
-		request.Mutations = append(request.Mutations, &configv1.Mutation{Action: &configv1.Mutation_Put{Put: o}})
-	}
-	ctx, cancel := context.WithTimeout(w.p.t.Context(), readTimeout)
-	defer cancel()
-	_, err := client.Apply(ctx, connect.NewRequest(request))
-	return err == nil
-}
-
 // call sends reads on one connection for as long as its host keeps it open, and then turns to another host.
 func (w *plannedWork) call(ctx context.Context, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 2))
@@ -148,15 +130,11 @@
 func (w *plannedWork) read(client *http.Client, h processHost, id string, rnd *rand.Rand) bool {
 	key := w.chooseService(h, rnd)
 	url := fmt.Sprintf("%s/%s/q?work=%dms&size=3000", h.caller(), key.service, rnd.IntN(500))
-	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	req, err := countedRequest(url, id, readTimeout)
 	if err != nil {
 		w.p.t.Error(err)
 		return false
 	}
-	req.Header.Set(target.HeaderRequestID, id)
-	// Targets count executions by this header. In its canonical form it would make net/http repeat the request.
-	req.Header[strings.ToLower(reply.HeaderKey)] = []string{id}
-	req.Header.Set(reply.HeaderTimeout, fmt.Sprint(readTimeout.Seconds()))
 	sent := time.Now()
 	got := perform(client, req)
 	w.checkRead(key, id, url, sent, got)
@@ -178,9 +156,8 @@
 func (w *plannedWork) checkRead(key processService, id, url string, sent time.Time, got outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var dial *net.OpError
 	switch {
-	case errors.As(got.err, &dial) && dial.Op == "dial": // the host is down
+	case got.notConnected(): // the host is down
 	case got.err != nil && got.status == 0 && w.closing(key.host):
 		w.crossed++
 		w.notPassedOn = append(w.notPassedOn, id)
--- a/pkg/daemon/poison_test.go
+++ b/pkg/daemon/poison_test.go
@@ -88,8 +88,9 @@
 		})
 	}
 	impatient := &http.Client{Timeout: 50 * time.Millisecond}
+	rnd := rand.New(rand.NewPCG(1, 1))
 	for end := time.Now().Add(2 * poisonDuration); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		host := fmt.Sprintf("h%d", 1+rand.IntN(poisonDomains))
+		host := fmt.Sprintf("h%d", 1+rnd.IntN(poisonDomains))
 		req, err := http.NewRequest(http.MethodGet, "http://"+f.hosts[host].Settings.CallerListen+poisonPath+"&work=100ms", nil)
 		is.NoErr(err)
 		perform(impatient, req)
--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +19,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 	operatorv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1/operatorv1connect"
@@ -212,14 +215,40 @@
 // apply creates objects through the operators' interface.
 func (p *processFleet) apply(objects ...*configv1.Object) {
 	p.t.Helper()
-	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, p.hosts[0].operator())
-	request := &operatorv1.ApplyRequest{RequestId: "create"}
+	if err := applyAt(p.t.Context(), p.hosts[0], "create", objects); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// applyAtRandomHost commits a change through a random host and reports whether that succeeded. If that host stops, the change can be
+// repeated with the same ID.
+func (p *processFleet) applyAtRandomHost(rnd *rand.Rand, id string, objects []*configv1.Object) bool {
+	ctx, cancel := context.WithTimeout(p.t.Context(), readTimeout)
+	defer cancel()
+	return applyAt(ctx, p.randomHost(rnd), id, objects) == nil
+}
+
+func applyAt(ctx context.Context, h processHost, id string, objects []*configv1.Object) error {
+	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, h.operator())
+	request := &operatorv1.ApplyRequest{RequestId: id}
 	for _, o := range objects {
 		request.Mutations = append(request.Mutations, &configv1.Mutation{Action: &configv1.Mutation_Put{Put: o}})
 	}
-	if _, err := client.Apply(p.t.Context(), connect.NewRequest(request)); err != nil {
-		p.t.Fatal(err)
+	_, err := client.Apply(ctx, connect.NewRequest(request))
+	return err
+}
+
+// countedRequest returns a POST request of which targets count the executions by its ID.
+func countedRequest(url, id string, timeout time.Duration) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(id))
+	if err != nil {
+		return nil, err
 	}
+	req.Header.Set(target.HeaderRequestID, id)
+	// Targets count by this header. In its canonical form it would make net/http repeat the request.
+	req.Header[strings.ToLower(reply.HeaderKey)] = []string{id}
+	req.Header.Set(reply.HeaderTimeout, fmt.Sprint(timeout.Seconds()))
+	return req, nil
 }
 
 // executions returns the sum of the execution reports of all targets.
