--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -17,18 +17,25 @@
 	rq.attempts++
 	rq.targetAttempts++
 	if rq.command || !rq.body.empty() || grant.HedgeAfter <= 0 {
-		return h.send(rq, a)
+		return h.sendFirst(rq, a)
 	}
 	r := &hedgeRace{h: h, rq: rq, first: a, secondDone: make(chan struct{})}
 	r.permitRequest = r.hedgeRequest()
 	timer := time.AfterFunc(grant.HedgeAfter, func() { h.hedgeAttempts.Go(r.runSecond) })
-	ans, f := h.send(rq, a)
+	ans, f := h.sendFirst(rq, a)
 	if timer.Stop() {
 		return ans, f
 	}
 	return r.pickWinner(ans, f)
 }
 
+// sendFirst sends an attempt from the request's goroutine and adds it to the routing history.
+func (h *Handler) sendFirst(rq *request, a *attempt) (*answer, *failure) {
+	ans, f := h.send(rq, a)
+	rq.history.addSend(a.record)
+	return ans, f
+}
+
 // hedgeRace holds the state that the two attempts of a hedged request share. The first attempt runs in the request's goroutine,
 // the second one in a goroutine of its own.
 type hedgeRace struct {
@@ -43,8 +50,9 @@
 	// decided is set when one of the attempts has won.
 	decided      bool
 	cancelSecond func()
-	// secondTarget is the target of the second attempt, empty if it got no permit.
+	// secondTarget is the target of the second attempt, empty if it got no permit, and secondRecord its send.
 	secondTarget  string
+	secondRecord  sendRecord
 	secondAnswer  *answer
 	secondFailure *failure
 }
@@ -96,7 +104,9 @@
 	a.setGrant(r.rq, grant)
 	r.secondTarget = grant.Target
 	r.h.metrics.hedges.Inc(1)
-	return r.h.send(r.rq, a)
+	ans, f := r.h.send(r.rq, a)
+	r.secondRecord = a.record
+	return ans, f
 }
 
 // pickWinner returns the result of the hedged request. It takes the result of the first attempt and is called only if the second
@@ -120,6 +130,7 @@
 	r.rq.targetAttempts++
 	if r.secondTarget != "" {
 		r.rq.excludedTargets = append(r.rq.excludedTargets, r.secondTarget)
+		r.rq.history.addSend(r.secondRecord)
 	}
 	if r.secondAnswer != nil {
 		return r.secondAnswer, nil
--- /dev/null
+++ b/pkg/entry/history_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+)
+
+// captureLog returns the buffer to which log lines go until the test ends.
+func captureLog(t *testing.T) *bytes.Buffer {
+	var lines bytes.Buffer
+	before := log.DefaultLogger
+	log.DefaultLogger = log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}}
+	t.Cleanup(func() { log.DefaultLogger = before })
+	return &lines
+}
+
+// Guards against a false refusal that neither the log nor the metrics explain: which target answered, at which address, on which connection,
+// and whether it stated that the request was not executed.
+func TestSendsAreLoggedAndCounted(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		lines := captureLog(t)
+		scope := tally.NewTestScope("", nil)
+		w := newRuleFixture(t, 0, func(o *Options) { o.Dialect, o.Scope = promisingDialect{}, scope })
+		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
+		w.net.serve(t, "a", newScriptedTarget(func(c *targetConn, r *http.Request) {
+			if r.Header.Get(headerExpected) == "t-new" {
+				c.answer(r, http.StatusServiceUnavailable, notRunHeader)
+				return
+			}
+			c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+			c.pending = strings.Replace(c.pending, "c1", "c0", 1)
+		}))
+		got := w.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		synctest.Wait()
+		is.True(strings.Contains(lines.String(),
+			`"sends":["t-old a 421 instance-gone earlier=0 skipped=0","t-new a 503 not-run earlier=1 skipped=1"]`))
+		counters := map[string]int64{}
+		for name, c := range scope.Snapshot().Counters() {
+			counters[name] = c.Value()
+		}
+		is.Equal(counters["entry.target_refusals+statement=instance-gone"], int64(1))
+		is.Equal(counters["entry.target_refusals+statement=not-run"], int64(1))
+		is.Equal(counters["entry.skipped_responses+"], int64(1))
+	})
+}
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -8,7 +8,6 @@
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
-	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // Limits of log lines about requests, per second and host. A line has 600 bytes on average, so a host writes at most about 48 kB
@@ -28,17 +27,6 @@
 	return requestLog{logging.NewLimiter(failuresPerSecond), logging.NewLimiter(successesPerSecond)}
 }
 
-// routingHistory records how a request was routed, for its log line.
-type routingHistory struct {
-	// targets lists the targets of the permits that were granted; sentTo is the host that the request was forwarded to.
-	targets []string
-	sentTo  string
-	// permitWait is the total time spent on acquiring permits.
-	permitWait time.Duration
-	// decision is the dispatcher's last decision about the request.
-	decision permit.Decision
-}
-
 // newEntry returns the log entry of a request that ended with a status, or nil if the rate limit suppresses it.
 func (l requestLog) newEntry(rq *request, status int, failed bool) *log.Entry {
 	limiter := l.successes
@@ -57,6 +45,9 @@
 	if leftOut > 0 {
 		line = line.Int("left_out", leftOut)
 	}
+	if failed || len(rq.history.sends) > 1 {
+		line = line.Strs("sends", rq.history.describeSends())
+	}
 	return rq.describe(line)
 }
 
--- a/pkg/entry/pipenet_test.go
+++ b/pkg/entry/pipenet_test.go
@@ -97,8 +97,10 @@
 
 // permits is a permit.Acquirer that grants the first target of a list that is not excluded. It records requests and releases.
 type permits struct {
-	mu         sync.Mutex
-	targets    []string
+	mu      sync.Mutex
+	targets []string
+	// addresses holds the addresses of targets that differ from their names.
+	addresses  map[string]string
 	hedgeAfter time.Duration
 	refuse     *permit.RefusedError
 	// validFor, if set, is the time until a permit expires.
@@ -126,10 +128,10 @@
 		if p.validFor > 0 {
 			q.Deadline = time.Now().Add(p.validFor)
 		}
-		return &permit.Grant{
+		return p.grantFor(name, &permit.Grant{
 			Target: name, Address: name, Deadline: q.Deadline, HedgeAfter: p.hedgeAfter, Release: p.release, Note: p.note,
 			Decision: permit.Decision{ExpectedDuration: p.expected},
-		}, nil
+		}), nil
 	}
 	return nil, &permit.RefusedError{Reason: refusalNoTarget, RetryAfter: time.Second}
 }
--- /dev/null
+++ b/pkg/entry/promising_test.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
+)
+
+// Headers of promisingDialect.
+const (
+	headerExpected = "Expected-Instance"
+	headerNotRun   = "Not-Run"
+)
+
+// promisingDialect is a dialect whose callers take some statuses as the promise that their request was not executed. Targets get the
+// caller's ID unchanged, repeat it and may send copies of a response.
+type promisingDialect struct{ dialect.Native }
+
+func (d promisingDialect) ReadRequest(r *http.Request) (dialect.Hints, error) {
+	hints, err := d.Native.ReadRequest(r)
+	hints.ID = r.Header.Get(target.HeaderRequestID)
+	return hints, err
+}
+
+func (d promisingDialect) WriteRequest(h http.Header, info dialect.AttemptInfo) {
+	d.Native.WriteRequest(h, info)
+	h[headerExpected] = []string{info.Instance}
+}
+
+func (promisingDialect) ReadResponse(resp *http.Response) dialect.ResponseInfo {
+	gone := resp.StatusCode == http.StatusMisdirectedRequest
+	return dialect.ResponseInfo{
+		ID: resp.Header.Get(target.HeaderRequestID), InstanceGone: gone, NotRun: gone || resp.Header.Get(headerNotRun) != "",
+	}
+}
+
+func (promisingDialect) WriteRefusal(w http.ResponseWriter, f *reply.Refusal) {
+	out := *f
+	if out.Outcome != reply.NotRun {
+		out.Status = http.StatusBadGateway
+	}
+	out.WriteTo(w)
+}
+
+func (promisingDialect) PromisesNotRun(status int) bool { return isPromise(status) }
+func (promisingDialect) PreservesRequestID() bool       { return true }
+func (promisingDialect) MayDuplicateResponses() bool    { return true }
+
+// isPromise reports whether callers of promisingDialect take a status as the promise that their request was not executed.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// scriptedTarget serves requests one after another on each connection with a function of the test. It counts runs by request ID.
+type scriptedTarget struct {
+	serve func(c *targetConn, r *http.Request)
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// targetConn is a connection to a scriptedTarget.
+type targetConn struct {
+	target *scriptedTarget
+	out    io.Writer
+	// pending is sent before the next response.
+	pending string
+	// ended is set to close the connection.
+	ended bool
+}
+
+func newScriptedTarget(serve func(c *targetConn, r *http.Request)) *scriptedTarget {
+	return &scriptedTarget{serve: serve, runs: map[string]int{}}
+}
+
+// ServeHTTP takes the connection over and serves all requests that arrive on it.
+func (t *scriptedTarget) ServeHTTP(w http.ResponseWriter, first *http.Request) {
+	if _, err := io.Copy(io.Discard, first.Body); err != nil {
+		return
+	}
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	c := &targetConn{target: t, out: conn}
+	for r := first; r != nil && !c.ended; r = readNext(buffered.Reader) {
+		t.serve(c, r)
+	}
+}
+
+// readNext reads the next request with its body, or returns nil at the end of the connection.
+func readNext(in *bufio.Reader) *http.Request {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return nil
+	}
+	return r
+}
+
+// run counts a run of the request.
+func (c *targetConn) run(r *http.Request) {
+	c.target.mu.Lock()
+	defer c.target.mu.Unlock()
+	c.target.runs[r.Header.Get(target.HeaderRequestID)]++
+}
+
+// runsOf returns how often a request has run.
+func (t *scriptedTarget) runsOf(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+// answer writes a response with the ID of the request, after what is pending, and returns its text.
+func (c *targetConn) answer(r *http.Request, status int, header string) string {
+	id := r.Header.Get(target.HeaderRequestID)
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: 3\r\n\r\nend", status, http.StatusText(status),
+		target.HeaderRequestID, id, header)
+	pending := c.pending
+	c.pending = ""
+	_, _ = io.WriteString(c.out, pending+text)
+	return text
+}
+
+// notRunHeader is the header with which a target states that it did not run a request.
+const notRunHeader = headerNotRun + ": 1\r\n"
+
+// withAddresses makes permits grant targets at the given addresses, for which their names are the expected instances.
+func (p *permits) withAddresses(addresses map[string]string, names ...string) {
+	p.targets, p.addresses = names, addresses
+}
+
+// grantFor returns the address and the instance of a target.
+func (p *permits) grantFor(name string, g *permit.Grant) *permit.Grant {
+	if address, ok := p.addresses[name]; ok {
+		g.Address, g.Instance = address, name
+	}
+	return g
+}
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -104,6 +104,7 @@
 
 // exchange sends the request and returns the matching response once its header has arrived.
 func (c *conn) exchange(req *http.Request, o Options) (*http.Response, error) {
+	o.Trace.EarlierRequests = c.requestCount
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
 	}
@@ -131,6 +132,7 @@
 			}
 			return resp, nil
 		}
+		o.Trace.Skipped++
 		if !o.SkipMismatched || c.requestCount == 1 {
 			// On a new connection there is no duplicate of an earlier response, so the right response may never follow.
 			return nil, errors.New("the response belongs to another request")
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -52,6 +52,16 @@
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
 	// right one follows it.
 	SkipMismatched bool
+	// Trace, if set, is filled in while the request is sent and its response is awaited.
+	Trace *Trace
+}
+
+// Trace describes how a request was sent and answered.
+type Trace struct {
+	// EarlierRequests is the number of requests that the connection had carried before.
+	EarlierRequests int
+	// Skipped is the number of responses to other requests that arrived before the response or the error.
+	Skipped int
 }
 
 // Match is whether a response belongs to a request.
@@ -97,6 +107,9 @@
 		return nil, errors.Mark(steperr.Wrap(err, "connect", o.Address), ErrNotSent)
 	}
 	cn.watchContext(ctx)
+	if o.Trace == nil {
+		o.Trace = &Trace{}
+	}
 	resp, err := cn.exchange(req, o)
 	if err != nil {
 		cn.close()
