--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -45,7 +45,7 @@
 	if leftOut > 0 {
 		line = line.Int("left_out", leftOut)
 	}
-	if failed || len(rq.history.sends) > 1 {
+	if n := len(rq.history.sends); n > 1 || failed && n > 0 {
 		line = line.Strs("sends", rq.history.describeSends())
 	}
 	return rq.describe(line)
--- /dev/null
+++ b/pkg/entry/promise_test.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/bubble"
+)
+
+// promisingFixture returns a host whose callers take some statuses as promises, without targets.
+func promisingFixture(t *testing.T, change func(*Options)) *fixture {
+	return newRuleFixture(t, 0, func(o *Options) {
+		o.Dialect = promisingDialect{}
+		if change != nil {
+			change(o)
+		}
+	})
+}
+
+// promisingPair returns a host whose dispatcher redirects all requests, and the host of another failure domain that gets them.
+func promisingPair(t *testing.T) (first, second *fixture) {
+	first, second = redirectToSecond(t, ruleStore(), ruleStore())
+	first.handler.opts.Dialect, second.handler.opts.Dialect = promisingDialect{}, promisingDialect{}
+	return first, second
+}
+
+// Guards against a command that is answered with a promise although it has run: its target answers with a status that callers take as one.
+func TestTargetsOwnStatusIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, forwarded %v", status, forwarded), func(t *testing.T) {
+				bubble.Run(t, func(t *testing.T) { checkOwnStatus(t, status, forwarded) })
+			})
+		}
+	}
+}
+
+// checkOwnStatus checks that a command whose target runs it and answers with a status of its own is answered as one that may have run.
+func checkOwnStatus(t *testing.T, status int, forwarded bool) {
+	is := is.New(t)
+	caller := promisingFixture(t, nil)
+	server := caller
+	if forwarded {
+		caller, server = promisingPair(t)
+	}
+	own := newScriptedTarget(func(c *targetConn, r *http.Request) {
+		c.run(r)
+		c.answer(r, status, "")
+	})
+	server.net.serve(t, "own", own)
+	server.permits.targets = []string{"own"}
+	got := caller.do("POST", "/r/c/a", "x")
+	is.NoErr(got.err)
+	is.Equal(own.runsOf("c1"), 1)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(got.header.Get("Rattanhitch-Outcome"), "unknown")
+	synctest.Wait()
+	is.Equal(server.permits.open, 0)
+}
+
+// takenOverAddress returns a target process "t-new" at the address of the process "t-old", which has ended. It sends each refusal a second
+// time before the next response on the connection.
+func takenOverAddress() *scriptedTarget {
+	return newScriptedTarget(func(c *targetConn, r *http.Request) {
+		if r.Header.Get(headerExpected) != "t-new" {
+			c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+			return
+		}
+		c.run(r)
+		c.answer(r, http.StatusOK, "")
+	})
+}
+
+// Guards against a command that is refused as not run although it runs: a late copy of the refusal of its first send, to a process that is
+// no longer at the address, is taken for the answer to its second send, to the process that is there now.
+func TestCopyOfARefusalDoesNotAnswerTheNextSend(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t, nil)
+		tg := takenOverAddress()
+		w.net.serve(t, "a", tg)
+		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
+		got := w.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(tg.runsOf("c1"), 1)
+		is.Equal(got.status, http.StatusOK)
+	})
+}
+
+// Guards against a command that runs twice: the host to which it was forwarded takes it for not run, because of a late copy of a refusal, and
+// the first host sends it to a target of its own.
+func TestCopyOfARefusalDoesNotRunACommandTwice(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		first, second := promisingPair(t)
+		there, here := takenOverAddress(), newScriptedTarget(func(c *targetConn, r *http.Request) {
+			c.run(r)
+			c.answer(r, http.StatusOK, "")
+		})
+		second.net.serve(t, "a", there)
+		second.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
+		first.net.serve(t, "here", here)
+		first.permits.targets = []string{"here"}
+		got := first.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(there.runsOf("c1")+here.runsOf("c1"), 1)
+	})
+}
