Repeat the request ID in refusals of the simulated target

Cause: three requests race for the first target's two slots and its one idle connection. If the one that is shed gets the idle connection, its refusal has no ID and may be a copy of an earlier one, so that the host rightly doesn't believe it; on a new connection it does. Real targets repeat the ID in all responses, and the simulated one did not in refusals.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -145,7 +145,10 @@
 	return factor
 }
 
-func writeNotRun(w http.ResponseWriter) {
+// writeNotRun refuses a request. Like a response, the refusal repeats the request IDs.
+func writeNotRun(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	w.Header().Set(headerAttemptID, r.Header.Get(headerAttemptID))
 	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	w.Header().Set(headerOutcome, outcomeNotRun)
 	http.Error(w, "no free slot", http.StatusServiceUnavailable)
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -21,7 +21,7 @@
 	ctx, cancel := withRequestTimeout(r)
 	defer cancel()
 	if !t.acquireSlot() {
-		writeNotRun(w)
+		writeNotRun(w, r)
 		return
 	}
 	defer t.releaseSlot()
