--- a/pkg/entry/dialect/dialect.go
+++ b/pkg/entry/dialect/dialect.go
@@ -77,6 +77,9 @@
 	ReadResponse(resp *http.Response) ResponseInfo
 	// WriteRefusal writes the response to a caller whose request is refused.
 	WriteRefusal(w http.ResponseWriter, f *reply.Refusal)
+	// PromisesNotRun reports whether callers take a response with this status as the statement that their request was not executed and
+	// never will be.
+	PromisesNotRun(status int) bool
 	// PreservesRequestID reports whether targets receive the caller's request ID unchanged.
 	PreservesRequestID() bool
 	// MayDuplicateResponses reports whether a target may send a duplicate response to a request, which then arrives before the
--- a/pkg/entry/dialect/native.go
+++ b/pkg/entry/dialect/native.go
@@ -63,6 +63,9 @@
 // WriteRefusal writes the refusal in the format of package reply.
 func (Native) WriteRefusal(w http.ResponseWriter, f *reply.Refusal) { f.WriteTo(w) }
 
+// PromisesNotRun returns false: callers read the outcome header, which targets cannot set.
+func (Native) PromisesNotRun(int) bool { return false }
+
 // PreservesRequestID returns false: each attempt gets an ID from this host.
 func (Native) PreservesRequestID() bool { return false }
 
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -111,3 +111,48 @@
 		is.Equal(there.runsOf("c1")+here.runsOf("c1"), 1)
 	})
 }
+
+// Guards against a promise that a host of an earlier version has passed on as the status of a target.
+func TestStatusFromAnOlderHostIsNoPromise(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		first, _ := promisingPair(t)
+		first.net.serve(t, "h2", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			origin, err := parseOrigin(r)
+			is.NoErr(err)
+			origin.writeIdentity(w.Header())
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		got := first.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusBadGateway)
+		is.Equal(got.header.Get("Rattanhitch-Outcome"), "unknown")
+	})
+}
+
+// Guards against a read that fails because one target answers with a status that callers take as a promise, although another target can
+// serve it.
+func TestReadIsRetriedAfterATargetsOwnRefusal(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t, nil)
+		answering := func(status int) *scriptedTarget {
+			return newScriptedTarget(func(c *targetConn, r *http.Request) {
+				c.run(r)
+				c.answer(r, status, "")
+			})
+		}
+		failing, healthy := answering(http.StatusServiceUnavailable), answering(http.StatusOK)
+		w.net.serve(t, "failing", failing)
+		w.net.serve(t, "healthy", healthy)
+		w.permits.targets = []string{"failing", "healthy"}
+		got := w.do("GET", "/r/a", "")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(failing.runsOf("c1")+healthy.runsOf("c1"), 2)
+		w.permits.targets = []string{"failing"}
+		got = w.do("GET", "/r/a", "")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusBadGateway)
+	})
+}
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -148,10 +148,17 @@
 		}
 	}
 	refused, ok := reply.FromResponse(resp)
-	if !ok {
+	if !ok && !h.opts.Dialect.PromisesNotRun(resp.StatusCode) {
 		return h.prefetch(rq, ans)
 	}
 	ans.abort(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
+	if !ok {
+		// A host of an earlier version passes on the status of a target.
+		return nil, &failure{
+			status: http.StatusBadGateway, reason: reply.ReasonTargetFailed, mayHaveRun: true, retryScope: retryNone,
+			err: steperr.New("check response", to.Host, "status %d", resp.StatusCode),
+		}
+	}
 	f := &failure{
 		status: refused.Status, reason: refused.Reason, retryAfter: refused.RetryAfter,
 		mayHaveRun: refused.Outcome != reply.NotRun, outcomeStated: true, retryScope: retryPlace,
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -49,8 +49,9 @@
 	if a.info.NotRun {
 		return nil, h.notExecuted(a, resp)
 	}
-	if resp.StatusCode == http.StatusInternalServerError && h.retriesServerError(rq) {
-		return nil, h.serverError(a, resp)
+	retried := resp.StatusCode == http.StatusInternalServerError && h.retriesServerError(rq)
+	if retried || h.opts.Dialect.PromisesNotRun(resp.StatusCode) {
+		return nil, h.targetFailed(a, resp)
 	}
 	return h.prefetch(rq, &answer{attempt: a, resp: resp})
 }
@@ -60,8 +61,8 @@
 	return rq.rule != nil && !rq.command && rq.attempts < rq.maxAttempts() && rq.body.replayable()
 }
 
-// serverError finishes an attempt that the target executed and answered with status 500.
-func (h *Handler) serverError(a *attempt, resp *http.Response) *failure {
+// targetFailed finishes an attempt that the target may have executed, and whose response does not reach the caller.
+func (h *Handler) targetFailed(a *attempt, resp *http.Response) *failure {
 	drainAndClose(resp)
 	a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
 	return &failure{
