--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -31,6 +31,9 @@
 	cancel          context.CancelCauseFunc
 	cancelDeadline  context.CancelFunc
 	sent            time.Time
+	// newConn is set if an earlier attempt was sent to the same address. Targets may receive the same ID with all attempts, so that a late
+	// copy of the earlier response, on the same connection, would be taken for this one.
+	newConn bool
 	// connRequested is set when the transport starts to obtain a connection, and connected when it has obtained one. From then
 	// on the request may have been sent.
 	connRequested atomic.Bool
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -14,6 +14,8 @@
 func (h *Handler) tryTarget(rq *request, grant *permit.Grant) (*answer, *failure) {
 	rq.initHeader()
 	a := h.newAttempt(rq, rq.attemptID(), grant)
+	a.newConn = slices.Contains(rq.addresses, grant.Address)
+	rq.addresses = append(rq.addresses, grant.Address)
 	rq.attempts++
 	rq.targetAttempts++
 	if rq.command || !rq.body.empty() || grant.HedgeAfter <= 0 {
@@ -21,6 +23,7 @@
 	}
 	r := &hedgeRace{h: h, rq: rq, first: a, secondDone: make(chan struct{})}
 	r.permitRequest = r.hedgeRequest()
+	r.addresses = slices.Clone(rq.addresses)
 	timer := time.AfterFunc(grant.HedgeAfter, func() { h.hedgeAttempts.Go(r.runSecond) })
 	ans, f := h.sendFirst(rq, a)
 	if timer.Stop() {
@@ -43,6 +46,8 @@
 	rq            *request
 	first         *attempt
 	permitRequest permit.Request
+	// addresses lists the addresses that the request was sent to before the second attempt.
+	addresses []string
 	// secondDone is closed when the result of the second attempt is known.
 	secondDone chan struct{}
 
@@ -50,8 +55,8 @@
 	// decided is set when one of the attempts has won.
 	decided      bool
 	cancelSecond func()
-	// secondTarget is the target of the second attempt, empty if it got no permit, and secondRecord its send.
-	secondTarget  string
+	// secondGrant is the permit of the second attempt, nil if it got none, and secondRecord its send.
+	secondGrant   *permit.Grant
 	secondRecord  sendRecord
 	secondAnswer  *answer
 	secondFailure *failure
@@ -102,7 +107,8 @@
 		return nil, acquireFailure(r.rq, err)
 	}
 	a.setGrant(r.rq, grant)
-	r.secondTarget = grant.Target
+	a.newConn = slices.Contains(r.addresses, grant.Address)
+	r.secondGrant = grant
 	r.h.metrics.hedges.Inc(1)
 	ans, f := r.h.send(r.rq, a)
 	r.secondRecord = a.record
@@ -128,8 +134,9 @@
 	<-r.secondDone
 	r.rq.attempts++
 	r.rq.targetAttempts++
-	if r.secondTarget != "" {
-		r.rq.excludedTargets = append(r.rq.excludedTargets, r.secondTarget)
+	if g := r.secondGrant; g != nil {
+		r.rq.excludedTargets = append(r.rq.excludedTargets, g.Target)
+		r.rq.addresses = append(r.rq.addresses, g.Address)
 		r.rq.history.addSend(r.secondRecord)
 	}
 	if r.secondAnswer != nil {
--- a/pkg/entry/history_test.go
+++ b/pkg/entry/history_test.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 )
 
 // captureLog returns the buffer to which log lines go until the test ends.
@@ -34,24 +35,26 @@
 		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
 		w.net.serve(t, "a", newScriptedTarget(func(c *targetConn, r *http.Request) {
 			if r.Header.Get(headerExpected) == "t-new" {
-				c.answer(r, http.StatusServiceUnavailable, notRunHeader)
+				c.pending = c.answer(r, http.StatusServiceUnavailable, notRunHeader)
 				return
 			}
-			c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
-			c.pending = strings.Replace(c.pending, "c1", "c0", 1)
+			c.answer(r, http.StatusMisdirectedRequest, "")
 		}))
-		got := w.do("POST", "/r/c/a", "x")
-		is.NoErr(got.err)
-		is.Equal(got.status, http.StatusServiceUnavailable)
+		for _, id := range []string{"c1", "c2"} {
+			got := w.do("POST", "/r/c/a", "x", target.HeaderRequestID, id)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+		}
 		synctest.Wait()
 		is.True(strings.Contains(lines.String(),
-			`"sends":["t-old a 421 instance-gone earlier=0 skipped=0","t-new a 503 not-run earlier=1 skipped=1"]`))
+			`"sends":["t-old a 421 instance-gone earlier=0 skipped=0","t-new a 503 not-run earlier=0 skipped=0"]`))
+		is.True(strings.Contains(lines.String(), `"sends":["t-old a 421 instance-gone earlier=1 skipped=1","t-new `)) // after a copy
 		counters := map[string]int64{}
 		for name, c := range scope.Snapshot().Counters() {
 			counters[name] = c.Value()
 		}
-		is.Equal(counters["entry.target_refusals+statement=instance-gone"], int64(1))
-		is.Equal(counters["entry.target_refusals+statement=not-run"], int64(1))
+		is.Equal(counters["entry.target_refusals+statement=instance-gone"], int64(2))
+		is.Equal(counters["entry.target_refusals+statement=not-run"], int64(2))
 		is.Equal(counters["entry.skipped_responses+"], int64(1))
 	})
 }
--- a/pkg/entry/pipenet_test.go
+++ b/pkg/entry/pipenet_test.go
@@ -102,7 +102,9 @@
 	// addresses holds the addresses of targets that differ from their names.
 	addresses  map[string]string
 	hedgeAfter time.Duration
-	refuse     *permit.RefusedError
+	// hedgeWait is how long the permit of a hedged attempt takes.
+	hedgeWait time.Duration
+	refuse    *permit.RefusedError
 	// validFor, if set, is the time until a permit expires.
 	validFor time.Duration
 	// expected is the service time that the dispatcher expects.
@@ -114,6 +116,9 @@
 }
 
 func (p *permits) Acquire(_ context.Context, q permit.Request) (*permit.Grant, error) {
+	if q.Hedge {
+		time.Sleep(p.hedgeWait)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, q)
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -156,3 +157,31 @@
 		is.Equal(got.status, http.StatusBadGateway)
 	})
 }
+
+// Guards against a hedged read that is refused as not run, or gets the answer of another process: the copy of the first attempt's refusal is
+// taken for the answer to the second attempt, at the same address.
+func TestCopyOfARefusalDoesNotAnswerAHedge(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t, nil)
+		tg := newScriptedTarget(nil)
+		tg.serve = func(c *targetConn, r *http.Request) {
+			if r.Header.Get(headerExpected) != "t-new" {
+				time.Sleep(30 * time.Millisecond)
+				c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+				return
+			}
+			c.run(r)
+			time.Sleep(50 * time.Millisecond)
+			c.answer(r, http.StatusOK, "")
+		}
+		w.net.serve(t, "a", tg)
+		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
+		w.permits.hedgeAfter = 20 * time.Millisecond
+		w.permits.hedgeWait = 20 * time.Millisecond
+		got := w.do("GET", "/r/a", "")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(tg.runsOf("c1"), 1)
+	})
+}
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -47,6 +47,9 @@
 	Address string
 	// DedicatedConn selects a new connection for this request, which is closed afterwards.
 	DedicatedConn bool
+	// NewConn selects a new connection for this request, which is kept for later ones. It must be set if an earlier request with the
+	// same ID may have used a connection to this address: a late copy of its response would match this request.
+	NewConn bool
 	// Matches reports whether a response belongs to the request. It must not read the body. Nil accepts any response.
 	Matches func(*http.Response) Match
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
@@ -163,9 +166,9 @@
 	}
 }
 
-// connect returns the most recently used idle connection that is still usable, or a new one.
+// connect returns the most recently used idle connection that is still usable, unless the options exclude it, or a new one.
 func (c *Client) connect(ctx context.Context, o Options) (*conn, error) {
-	if !o.DedicatedConn {
+	if !o.DedicatedConn && !o.NewConn {
 		for cn := c.takeIdle(o.Address); cn != nil; cn = c.takeIdle(o.Address) {
 			if cn.usable() {
 				return cn, nil
