--- a/pkg/daemon/cut_soak_test.go
+++ b/pkg/daemon/cut_soak_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -234,7 +235,7 @@
 // unnoticed, while hosts are cut off from targets, restart and lose the platform at the same time.
 func TestCutsAmongOtherFaults(t *testing.T) {
 	is := is.New(t)
-	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 3))
+	seed := uint64(soak.Parameter(t, soak.Seed, 3))
 	t.Logf("seed %d", seed)
 	s := newCutSoak(t)
 	ctx, cancel := context.WithTimeout(t.Context(), soakDuration)
--- a/pkg/daemon/late_soak_test.go
+++ b/pkg/daemon/late_soak_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -191,7 +192,7 @@
 	p.waitFor("hosts that know each other", p.allKnowAll)
 
 	s := &lateSoak{p: p, stoppingSince: map[string]time.Time{}}
-	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 11))
+	seed := uint64(soak.Parameter(t, soak.Seed, 11))
 	t.Logf("seed %d", seed)
 	ctx, cancel := context.WithTimeout(t.Context(), lateSoakDuration)
 	defer cancel()
--- a/pkg/daemon/planned_test.go
+++ b/pkg/daemon/planned_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -253,7 +254,7 @@
 
 	w := &plannedWork{p: p, confirmed: map[string]time.Time{}, served: map[processService]time.Time{}, starts: map[string]int{},
 		stopping: map[string]bool{}, stoppedAt: map[string]time.Time{}}
-	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 7))
+	seed := uint64(soak.Parameter(t, soak.Seed, 7))
 	t.Logf("seed %d", seed)
 	ctx, cancel := context.WithCancel(t.Context())
 	var tasks sync.WaitGroup
--- a/pkg/daemon/poison_restart_test.go
+++ b/pkg/daemon/poison_restart_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
@@ -107,7 +108,7 @@
 
 func testPoisonWhileHostsAreKilled(t *testing.T, killAll bool) {
 	is := is.New(t)
-	seed := uint64(soakParameter(t, "RATTANHITCH_SOAK_SEED", 5))
+	seed := uint64(soak.Parameter(t, soak.Seed, 5))
 	t.Logf("seed %d", seed)
 	p := newProcessFleet(t)
 	objects := []*configv1.Object{place("d1", "r1"), place("d2", "r2"), service("tides")}
--- a/pkg/daemon/process_test.go
+++ b/pkg/daemon/process_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
@@ -130,7 +129,7 @@
 	for i := range 12 {
 		callers.Go(func() { load.run(ctx, uint64(i)) })
 	}
-	rounds, seed := soakParameter(t, "RATTANHITCH_SOAK_ROUNDS", len(faultKinds)), soakParameter(t, "RATTANHITCH_SOAK_SEED", 7)
+	rounds, seed := soak.Parameter(t, soak.Rounds, len(faultKinds)), soak.Parameter(t, soak.Seed, 7)
 	t.Logf("%d rounds of faults, seed %d", rounds, seed)
 	p.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), rounds)
 	p.waitFor("service after the faults", func() bool { return p.allRespond(p.callerURLs("/tides/x")) })
@@ -139,19 +138,6 @@
 	p.check(is, load)
 }
 
-// soakParameter reads a positive number from an environment variable, which make soak sets for longer runs.
-func soakParameter(t *testing.T, variable string, defaultValue int) int {
-	text := os.Getenv(variable)
-	if text == "" {
-		return defaultValue
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 1 {
-		t.Fatalf("%s=%q: must be a number of at least 1", variable, text)
-	}
-	return n
-}
-
 // fault injects one temporary fault into processes and returns when it is over.
 type fault func(p *processFleet, rnd *rand.Rand)
 
--- a/pkg/entry/promising_test.go
+++ b/pkg/entry/promising_test.go
@@ -78,6 +78,8 @@
 	pending string
 	// ended is set to close the connection.
 	ended bool
+	// process is the process that accepted the connection, if the test has several at an address.
+	process *process
 }
 
 func newScriptedTarget(serve func(c *targetConn, r *http.Request)) *scriptedTarget {
