--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -129,7 +129,7 @@
 	a.grant.Release(permit.Observation{
 		Outcome: outcome, FirstByte: a.firstByte, Total: total, Bytes: a.bytes, SlowdownPercent: a.info.SlowdownPercent,
 		TargetAlive: cause == lossConnectionOnly, Responded: a.responded && !a.info.InstanceGone, RateLimit: a.info.RateLimit,
-		Leaving: a.info.Leaving, Abandoned: a.isAbandoned(outcome),
+		Leaving: a.processLeaves(), Abandoned: a.isAbandoned(outcome),
 	})
 }
 
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // promisingFixture returns a host whose callers take some statuses as promises, without targets.
@@ -185,3 +186,18 @@
 		is.Equal(tg.runsOf("c1"), 1)
 	})
 }
+
+// Guards against requests that go on using up their attempts on a process that is gone, as long as its entry is in the configuration.
+func TestGoneProcessIsReported(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t, nil)
+		w.net.serve(t, "a", takenOverAddress())
+		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old", "t-new")
+		is.NoErr(w.do("POST", "/r/c/a", "x").err)
+		synctest.Wait()
+		is.Equal(w.permits.notices, []permit.Notice{{Leaving: true}, {}})
+		is.True(w.permits.released[0].Leaving)
+		is.True(!w.permits.released[1].Leaving)
+	})
+}
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -37,10 +37,13 @@
 // note hands on what the target has stated about itself in the response to an attempt.
 func (a *attempt) note() {
 	if a.grant.Note != nil {
-		a.grant.Note(permit.Notice{Leaving: a.info.Leaving, HoldOff: a.info.HoldOff})
+		a.grant.Note(permit.Notice{Leaving: a.processLeaves(), HoldOff: a.info.HoldOff})
 	}
 }
 
+// processLeaves reports whether the target's process wants no more requests, or is gone: its entry may stay in the configuration for some time.
+func (a *attempt) processLeaves() bool { return a.info.Leaving || a.info.InstanceGone }
+
 // acceptResponse checks a target's response header and returns the answer, or a failure with the attempt finished.
 func (h *Handler) acceptResponse(rq *request, a *attempt, resp *http.Response) (*answer, *failure) {
 	if !framed(resp) && !(h.opts.Dialect.AllowsCloseDelimited() && resp.StatusCode != http.StatusSwitchingProtocols) {
--- a/pkg/permit/notice.go
+++ b/pkg/permit/notice.go
@@ -29,7 +29,7 @@
 
 // Notice is what a target states about itself in an answer to one host.
 type Notice struct {
-	// Leaving is set if the target is about to end and must get no new requests.
+	// Leaving is set if the target's process is about to end, or has ended, and must get no new requests.
 	Leaving bool
 	// HoldOff is for how long the target wants no requests from this host; 0 if it states nothing.
 	HoldOff time.Duration
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -91,7 +91,7 @@
 	// accepts from all hosts together, as the header states; 0 if it states no limit.
 	Responded bool
 	RateLimit float64
-	// Leaving is set if the target has stated that it is leaving.
+	// Leaving is set if the target has stated that it is leaving, or another process that it is gone.
 	Leaving bool
 	// Abandoned is set if the request was sent and its holder has given it up, because its caller has left or its deadline has passed.
 	// The target may go on running it.
