--- a/pkg/entry/history.go
+++ b/pkg/entry/history.go
@@ -67,8 +67,8 @@
 // statements lists all statements.
 var statements = []statement{statedNothing, statedNotRun, statedGone}
 
-// recordSend returns the record of an attempt that was sent to a target. status is 0 without a response.
-func (a *attempt) recordSend(status int) sendRecord {
+// newSendRecord returns the record of an attempt that was sent to a target. status is 0 without a response.
+func (a *attempt) newSendRecord(status int) sendRecord {
 	s := sendRecord{target: a.grant.Target, address: a.grant.Address, trace: a.trace, status: status, statement: statedNothing}
 	switch {
 	case status == 0:
--- a/pkg/entry/pipenet_test.go
+++ b/pkg/entry/pipenet_test.go
@@ -141,6 +141,19 @@
 	return nil, &permit.RefusedError{Reason: refusalNoTarget, RetryAfter: time.Second}
 }
 
+// withAddresses makes permits grant targets at the given addresses, for which their names are the expected instances.
+func (p *permits) withAddresses(addresses map[string]string, names ...string) {
+	p.targets, p.addresses = names, addresses
+}
+
+// grantFor returns the address and the instance of a target.
+func (p *permits) grantFor(name string, g *permit.Grant) *permit.Grant {
+	if address, ok := p.addresses[name]; ok {
+		g.Address, g.Instance = address, name
+	}
+	return g
+}
+
 func (p *permits) note(n permit.Notice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/entry/record.go
+++ b/pkg/entry/record.go
@@ -16,10 +16,10 @@
 	latency                                             tally.Histogram
 	// reasons counts refusals by reason. Reasons that reply.Reasons does not list are counted under the empty reason.
 	reasons map[reply.Reason]tally.Counter
-	// responses counts the responses of targets with a status that refuses a request, by what they state about its execution, and
-	// skipped the responses that belonged to other requests.
-	responses map[statement]tally.Counter
-	skipped   tally.Counter
+	// targetRefusals counts the responses of targets that refuse a request, by what they state about its execution, and skipped the responses
+	// that belonged to other requests.
+	targetRefusals map[statement]tally.Counter
+	skipped        tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -28,10 +28,10 @@
 		served: s.Counter("served"), broken: s.Counter("broken"), refused: s.Counter("refused"),
 		cancelled: s.Counter("cancelled"), hedges: s.Counter("hedges"), retries: s.Counter("retries"),
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
-		reasons: map[reply.Reason]tally.Counter{}, responses: map[statement]tally.Counter{}, skipped: s.Counter("skipped_responses"),
+		reasons: map[reply.Reason]tally.Counter{}, targetRefusals: map[statement]tally.Counter{}, skipped: s.Counter("skipped_responses"),
 	}
 	for _, stated := range statements {
-		m.responses[stated] = s.Tagged(map[string]string{"statement": string(stated)}).Counter("target_refusals")
+		m.targetRefusals[stated] = s.Tagged(map[string]string{"statement": string(stated)}).Counter("target_refusals")
 	}
 	for _, reason := range append(reply.Reasons(), "") {
 		m.reasons[reason] = s.Tagged(map[string]string{"reason": cmp.Or(string(reason), "other")}).Counter("refusals")
@@ -48,14 +48,14 @@
 	counter.Inc(1)
 }
 
-// countSend counts a send to a target whose response refuses the request, and the responses to other requests before it.
-func (m *metrics) countSend(s sendRecord) {
+// countSend counts a send to a target if its response refuses the request, and the responses to other requests before it. promise is set if
+// callers take the status of the response as the statement that the request was not executed.
+func (m *metrics) countSend(s sendRecord, promise bool) {
 	if s.trace.Skipped > 0 {
 		m.skipped.Inc(int64(s.trace.Skipped))
 	}
-	switch s.status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		m.responses[s.statement].Inc(1)
+	if promise || s.statement != statedNothing {
+		m.targetRefusals[s.statement].Inc(1)
 	}
 }
 
--- a/pkg/entry/promising_test.go
+++ b/pkg/entry/scripted_target_test.go
@@ -8,60 +8,8 @@
 	"sync"
 
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
-	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// Headers of promisingDialect.
-const (
-	headerExpected = "Expected-Instance"
-	headerNotRun   = "Not-Run"
-)
-
-// promisingDialect is a dialect whose callers take some statuses as the promise that their request was not executed. Targets get the
-// caller's ID unchanged, repeat it and may send copies of a response.
-type promisingDialect struct{ dialect.Native }
-
-func (d promisingDialect) ReadRequest(r *http.Request) (dialect.Hints, error) {
-	hints, err := d.Native.ReadRequest(r)
-	hints.ID = r.Header.Get(target.HeaderRequestID)
-	return hints, err
-}
-
-func (d promisingDialect) WriteRequest(h http.Header, info dialect.AttemptInfo) {
-	d.Native.WriteRequest(h, info)
-	h[headerExpected] = []string{info.Instance}
-}
-
-func (promisingDialect) ReadResponse(resp *http.Response) dialect.ResponseInfo {
-	gone := resp.StatusCode == http.StatusMisdirectedRequest
-	return dialect.ResponseInfo{
-		ID: resp.Header.Get(target.HeaderRequestID), InstanceGone: gone, NotRun: gone || resp.Header.Get(headerNotRun) != "",
-	}
-}
-
-func (promisingDialect) WriteRefusal(w http.ResponseWriter, f *reply.Refusal) {
-	out := *f
-	if out.Outcome != reply.NotRun {
-		out.Status = http.StatusBadGateway
-	}
-	out.WriteTo(w)
-}
-
-func (promisingDialect) PromisesNotRun(status int) bool { return isPromise(status) }
-func (promisingDialect) PreservesRequestID() bool       { return true }
-func (promisingDialect) MayDuplicateResponses() bool    { return true }
-
-// isPromise reports whether callers of promisingDialect take a status as the promise that their request was not executed.
-func isPromise(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // scriptedTarget serves requests one after another on each connection with a function of the test. It counts runs by request ID.
 type scriptedTarget struct {
 	serve func(c *targetConn, r *http.Request)
@@ -141,16 +89,3 @@
 
 // notRunHeader is the header with which a target states that it did not run a request.
 const notRunHeader = headerNotRun + ": 1\r\n"
-
-// withAddresses makes permits grant targets at the given addresses, for which their names are the expected instances.
-func (p *permits) withAddresses(addresses map[string]string, names ...string) {
-	p.targets, p.addresses = names, addresses
-}
-
-// grantFor returns the address and the instance of a target.
-func (p *permits) grantFor(name string, g *permit.Grant) *permit.Grant {
-	if address, ok := p.addresses[name]; ok {
-		g.Address, g.Instance = address, name
-	}
-	return g
-}
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -33,8 +33,8 @@
 	a.connRequested.Store(true)
 	a.connected.Store(!errors.Is(err, upstream.ErrNotSent))
 	h.observePath(rq, a, err)
-	a.record = a.recordSend(statusOf(resp))
-	h.metrics.countSend(a.record)
+	a.record = a.newSendRecord(statusOf(resp))
+	h.metrics.countSend(a.record, h.opts.Dialect.PromisesNotRun(a.record.status))
 	if err != nil {
 		// The other idle connections to this target may be broken as well.
 		h.targets.CloseIdle(a.grant.Address)
