--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@cat KNOWN-RED.txt
 	$(GO) test -race -timeout 20m -skip '$(KNOWN_RED)' ./...
 
-# Real processes under random faults, for about four seconds a round, and then SOAK_SERIES series of planned stops beside changes of the
+# Real processes under random faults, for about four seconds a round, promises under random faults of targets, and then SOAK_SERIES series of planned stops beside changes of the
 # configuration, for 15 seconds each, and of stops that overlap under long requests, for 25 seconds each. SOAK_SEED repeats an order of
 # faults, and is the seed of the first series.
 SOAK_ROUNDS ?= 100
@@ -23,7 +23,7 @@
 SOAK_SEED ?= $(shell date +%s)
 soak:
 	RATTANHITCH_SOAK_ROUNDS=$(SOAK_ROUNDS) RATTANHITCH_SOAK_SEED=$(SOAK_SEED) \
-	  $(GO) test -count=1 -timeout 2h -v -run TestProcessesUnderFaults ./pkg/daemon
+	  $(GO) test -count=1 -timeout 2h -v -run 'TestProcessesUnderFaults|TestPromisesAreTrueUnderFaults' ./pkg/daemon ./pkg/entry
 	for n in $$(seq 0 $$(($(SOAK_SERIES) - 1))); do RATTANHITCH_SOAK_SEED=$$(($(SOAK_SEED) + n)) \
 	  $(GO) test -count=1 -v -run 'TestPlannedWorkCutsNobodyOff|TestLateRequestsInSeriesOfStops' ./pkg/daemon || exit 1; done
 
