--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +32,8 @@
 	cancel          context.CancelCauseFunc
 	cancelDeadline  context.CancelFunc
 	sent            time.Time
-	// newConn is set if an earlier attempt was sent to the same address. Targets may receive the same ID with all attempts, so that a late
-	// copy of the earlier response, on the same connection, would be taken for this one.
+	// newConn is set if an earlier attempt was sent to the same address. Targets may receive one ID with all attempts, so that a late copy of
+	// the earlier response, on the same connection, would be taken for the response to this one.
 	newConn bool
 	// connRequested is set when the transport starts to obtain a connection, and connected when it has obtained one. From then
 	// on the request may have been sent.
@@ -86,14 +87,16 @@
 	a.ctx, a.cancel = context.WithCancelCause(rq.ctx)
 	a.findLossCause = func() lossCause { return h.findLossCause(rq, a) }
 	if grant != nil {
-		a.setGrant(rq, grant)
+		a.setGrant(rq, grant, rq.addresses)
 	}
 	return a
 }
 
-// setGrant attaches a permit to the attempt and limits the attempt's context to the permit's deadline.
-func (a *attempt) setGrant(rq *request, grant *permit.Grant) {
+// setGrant attaches a permit to the attempt and limits the attempt's context to the permit's deadline. earlier lists the addresses that the
+// request was sent to before.
+func (a *attempt) setGrant(rq *request, grant *permit.Grant, earlier []string) {
 	a.grant, a.sent = grant, time.Now()
+	a.newConn = slices.Contains(earlier, grant.Address)
 	if !grant.Deadline.IsZero() && grant.Deadline.Before(rq.deadline) {
 		a.ctx, a.cancelDeadline = context.WithDeadline(a.ctx, grant.Deadline)
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -14,7 +14,6 @@
 func (h *Handler) tryTarget(rq *request, grant *permit.Grant) (*answer, *failure) {
 	rq.initHeader()
 	a := h.newAttempt(rq, rq.attemptID(), grant)
-	a.newConn = slices.Contains(rq.addresses, grant.Address)
 	rq.addresses = append(rq.addresses, grant.Address)
 	rq.attempts++
 	rq.targetAttempts++
@@ -46,7 +45,8 @@
 	rq            *request
 	first         *attempt
 	permitRequest permit.Request
-	// addresses lists the addresses that the request was sent to before the second attempt.
+	// addresses lists the addresses that the request was sent to before the second attempt. Like permitRequest it is a copy, because the second
+	// attempt runs in a goroutine of its own.
 	addresses []string
 	// secondDone is closed when the result of the second attempt is known.
 	secondDone chan struct{}
@@ -106,8 +106,7 @@
 		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
 		return nil, acquireFailure(r.rq, err)
 	}
-	a.setGrant(r.rq, grant)
-	a.newConn = slices.Contains(r.addresses, grant.Address)
+	a.setGrant(r.rq, grant, r.addresses)
 	r.secondGrant = grant
 	r.h.metrics.hedges.Inc(1)
 	ans, f := r.h.send(r.rq, a)
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -148,17 +148,23 @@
 		}
 	}
 	refused, ok := reply.FromResponse(resp)
-	if !ok && !h.opts.Dialect.PromisesNotRun(resp.StatusCode) {
-		return h.prefetch(rq, ans)
-	}
-	ans.abort(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
-	if !ok {
-		// A host of an earlier version passes on the status of a target.
+	switch {
+	case ok:
+		ans.abort(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
+		return nil, refusedByHost(to, refused)
+	case h.opts.Dialect.PromisesNotRun(resp.StatusCode):
+		// Only a host of an earlier version passes on such a status of a target.
+		ans.abort(peerv1.ReleaseOutcome_RELEASE_OUTCOME_ERROR)
 		return nil, &failure{
 			status: http.StatusBadGateway, reason: reply.ReasonTargetFailed, mayHaveRun: true, retryScope: retryNone,
 			err: steperr.New("check response", to.Host, "status %d", resp.StatusCode),
 		}
 	}
+	return h.prefetch(rq, ans)
+}
+
+// refusedByHost returns the failure of a request that another host has refused.
+func refusedByHost(to peer.Address, refused reply.Refusal) *failure {
 	f := &failure{
 		status: refused.Status, reason: refused.Reason, retryAfter: refused.RetryAfter,
 		mayHaveRun: refused.Outcome != reply.NotRun, outcomeStated: true, retryScope: retryPlace,
@@ -172,7 +178,7 @@
 	if f.mayHaveRun || refused.Reason == reply.ReasonPoison {
 		f.retryScope = retryNone
 	}
-	return nil, f
+	return f
 }
 
 // lacksConfiguration reports whether another host refused a request because it has no configuration yet, or one without the
