--- a/pkg/permit/notice.go
+++ b/pkg/permit/notice.go
@@ -186,7 +186,7 @@
 	return false
 }
 
-// closeLeaving makes a dispatcher grant no more permits for a process that is leaving.
+// closeLeaving makes a dispatcher grant no more permits for a process that is leaving or gone.
 func (d *dispatcher) closeLeaving(p process) {
 	t := d.slots.targets[p.target]
 	if t == nil || t.leaving || p.isOther(t.config.GetStartedUnixMs()) {
