Let the scripted target close a connection when it is told to

After a lost answer it waited for another request first, so that the host saw silence until the deadline in place of a closed connection.

--- a/pkg/entry/scripted_target_test.go
+++ b/pkg/entry/scripted_target_test.go
@@ -45,8 +45,11 @@
 	}
 	defer func() { _ = conn.Close() }()
 	c := &targetConn{target: t, out: conn}
-	for r := first; r != nil && !c.ended; r = readNext(buffered.Reader) {
+	for r := first; r != nil; r = readNext(buffered.Reader) {
 		t.serve(c, r)
+		if c.ended {
+			return
+		}
 	}
 }
 
