Keep the second attempt of a hedge and the record of a send once

A hedge race kept the grant and the record of its second attempt beside the attempt that holds both; an attempt kept the trace of its connection beside the record that contains it; the list of addresses was copied for each read that may be hedged, although its elements are never modified; the statuses of ownRefusals stood twice in the tests.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -12,7 +12,6 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
-	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
@@ -46,8 +45,7 @@
 	info dialect.ResponseInfo
 	// responded is set once the target's response header has been read.
 	responded bool
-	// trace describes the connection, and record the send as a whole once it has ended.
-	trace  upstream.Trace
+	// record describes the send for the log. It is empty if the attempt failed before a connection was requested.
 	record sendRecord
 	// findLossCause finds out why the connection to the target was lost. silent is set if it was lost because nothing arrived on it.
 	findLossCause func() lossCause
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -22,7 +22,7 @@
 	}
 	r := &hedgeRace{h: h, rq: rq, first: a, secondDone: make(chan struct{})}
 	r.permitRequest = r.hedgeRequest()
-	r.addresses = slices.Clone(rq.addresses)
+	r.addresses = rq.addresses
 	timer := time.AfterFunc(grant.HedgeAfter, func() { h.hedgeAttempts.Go(r.runSecond) })
 	ans, f := h.sendFirst(rq, a)
 	if timer.Stop() {
@@ -45,8 +45,8 @@
 	rq            *request
 	first         *attempt
 	permitRequest permit.Request
-	// addresses lists the addresses that the request was sent to before the second attempt. Like permitRequest it is a copy, because the second
-	// attempt runs in a goroutine of its own.
+	// addresses lists the addresses that the request was sent to before the second attempt. The elements of rq.addresses are never modified, so
+	// that both goroutines may read them.
 	addresses []string
 	// secondDone is closed when the result of the second attempt is known.
 	secondDone chan struct{}
@@ -55,9 +55,8 @@
 	// decided is set when one of the attempts has won.
 	decided      bool
 	cancelSecond func()
-	// secondGrant is the permit of the second attempt, nil if it got none, and secondRecord its send.
-	secondGrant   *permit.Grant
-	secondRecord  sendRecord
+	// second is the second attempt, nil if it got no permit.
+	second        *attempt
 	secondAnswer  *answer
 	secondFailure *failure
 }
@@ -107,11 +106,9 @@
 		return nil, acquireFailure(r.rq, err)
 	}
 	a.setGrant(r.rq, grant, r.addresses)
-	r.secondGrant = grant
+	r.second = a
 	r.h.metrics.hedges.Inc(1)
-	ans, f := r.h.send(r.rq, a)
-	r.secondRecord = a.record
-	return ans, f
+	return r.h.send(r.rq, a)
 }
 
 // pickWinner returns the result of the hedged request. It takes the result of the first attempt and is called only if the second
@@ -133,10 +130,10 @@
 	<-r.secondDone
 	r.rq.attempts++
 	r.rq.targetAttempts++
-	if g := r.secondGrant; g != nil {
-		r.rq.excludedTargets = append(r.rq.excludedTargets, g.Target)
-		r.rq.addresses = append(r.rq.addresses, g.Address)
-		r.rq.history.addSend(r.secondRecord)
+	if a := r.second; a != nil {
+		r.rq.excludedTargets = append(r.rq.excludedTargets, a.grant.Target)
+		r.rq.addresses = append(r.rq.addresses, a.grant.Address)
+		r.rq.history.addSend(a.record)
 	}
 	if r.secondAnswer != nil {
 		return r.secondAnswer, nil
--- a/pkg/entry/history.go
+++ b/pkg/entry/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
@@ -67,15 +68,18 @@
 // statements lists all statements.
 var statements = []statement{statedNothing, statedNotRun, statedGone}
 
-// newSendRecord returns the record of an attempt that was sent to a target. status is 0 without a response.
-func (a *attempt) newSendRecord(status int) sendRecord {
-	s := sendRecord{target: a.grant.Target, address: a.grant.Address, trace: a.trace, status: status, statement: statedNothing}
+// recordSend completes the record of an attempt that was sent to a target. resp is nil if there was no response.
+func (a *attempt) recordSend(resp *http.Response) {
+	r := &a.record
+	r.target, r.address, r.statement = a.grant.Target, a.grant.Address, statedNothing
+	if resp == nil {
+		return
+	}
+	r.status = resp.StatusCode
 	switch {
-	case status == 0:
 	case a.info.InstanceGone:
-		s.statement = statedGone
+		r.statement = statedGone
 	case a.info.NotRun:
-		s.statement = statedNotRun
+		r.statement = statedNotRun
 	}
-	return s
 }
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -28,7 +28,7 @@
 
 // Guards against a command that is answered with a promise although it has run: its target answers with a status that callers take as one.
 func TestTargetsOwnStatusIsNoPromise(t *testing.T) {
-	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+	for _, status := range ownRefusals {
 		for _, forwarded := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d, forwarded %v", status, forwarded), func(t *testing.T) {
 				bubble.Run(t, func(t *testing.T) { checkOwnStatus(t, status, forwarded) })
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -26,14 +26,14 @@
 	}
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
 		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(), NewConn: a.newConn,
-		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.trace,
+		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.record.trace,
 		Matches: func(resp *http.Response) upstream.Match { return h.matchAttempt(a, resp) },
 	})
 	a.firstByte = time.Since(a.sent)
 	a.connRequested.Store(true)
 	a.connected.Store(!errors.Is(err, upstream.ErrNotSent))
 	h.observePath(rq, a, err)
-	a.record = a.newSendRecord(statusOf(resp))
+	a.recordSend(resp)
 	h.metrics.countSend(a.record, h.opts.Dialect.PromisesNotRun(a.record.status))
 	if err != nil {
 		// The other idle connections to this target may be broken as well.
@@ -44,14 +44,6 @@
 	return h.acceptResponse(rq, a, resp)
 }
 
-// statusOf returns the status of a response, or 0 if there is none.
-func statusOf(resp *http.Response) int {
-	if resp == nil {
-		return 0
-	}
-	return resp.StatusCode
-}
-
 // observePath records whether the target of an attempt has answered. An attempt that did not reach the target, or that the caller or this
 // host has ended, tells nothing.
 func (h *Handler) observePath(rq *request, a *attempt, err error) {
