Refuse requests whose time left is shorter than their work

Cause: half of the mean hold time of a class counted as enough time, although nobody who needs the mean is served in half of it, and requests with a latency objective were not checked at all: they occupied slots until their deadline. Requests that were cut off changed no estimate.

Change: pkg/worktime estimates the work of each route as quantiles of its latest 64 requests (Kaplan-Meier, so that requests that were cut off count). A request with less time than nine of ten requests need is refused on arrival, a waiting one once it has less than half of them need. A wait that leaves less than nine of ten need is refused on arrival. Trials, with a growing interval, find out that a route has become fast again.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -28,8 +28,7 @@
 	d.queues[queueOf(w.class, w.req.Forwarded)].push(w)
 }
 
-// admit returns the refusal of a request on arrival, or nil if the request may be queued. A request is refused if its estimated
-// queue delay plus the minimum service time exceeds its deadline.
+// admit returns the refusal of a request on arrival, or nil if the request may be queued.
 func (d *dispatcher) admit(w *waiter, now time.Time) *RefusedError {
 	switch {
 	case d.superseded || !d.ensureFollower(w.from):
@@ -45,8 +44,17 @@
 	if w.req.Hedge {
 		return d.admitHedge(w, now)
 	}
+	if r := d.admitTimeLeft(w, now); r != nil {
+		return r
+	}
+	return d.admitWait(w, now)
+}
+
+// admitWait returns the refusal of a request whose expected wait does not leave the time within which requests of its route very likely
+// complete, or nil. Without that margin, a long queue would spend the slots on answers that come just too late.
+func (d *dispatcher) admitWait(w *waiter, now time.Time) *RefusedError {
 	delay := d.queueDelay(w.class, d.waitersAhead(w))
-	if now.Add(delay + d.minServiceTime(w.class)).After(w.deadline) {
+	if delay > 0 && now.Add(delay+d.work.Likely(w.req.Route)).After(w.deadline) {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay)
 	}
 	return nil
@@ -93,11 +101,6 @@
 	}
 }
 
-// latestStart returns the latest time at which a request can start and still complete by its deadline.
-func (d *dispatcher) latestStart(w *waiter) time.Time {
-	return w.deadline.Add(-d.minServiceTime(w.class))
-}
-
 // refuseAll refuses all waiting requests.
 func (d *dispatcher) refuseAll(reason peerv1.RefusalReason, retryAfter time.Duration) {
 	for _, w := range d.objectiveWaiters {
--- a/pkg/permit/class.go
+++ b/pkg/permit/class.go
@@ -144,12 +144,6 @@
 	return time.Duration(ahead-free+1) * d.meanHoldTime[class] / time.Duration(max(1, usable))
 }
 
-// minServiceTime returns half the mean hold time of a class. A request with less time left before its deadline is not started,
-// because it would probably not complete.
-func (d *dispatcher) minServiceTime(class configv1.RequestClass) time.Duration {
-	return d.meanHoldTime[class] / 2
-}
-
 // waitingCount returns the number of waiting requests of a class, local and forwarded ones.
 func (d *dispatcher) waitingCount(class configv1.RequestClass) int {
 	first := queueOf(class, false)
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/placement"
+	"github.com/rattanhitch/rattanhitch/pkg/worktime"
 )
 
 const (
@@ -59,9 +60,12 @@
 	objectiveWaiters []*waiter
 	recentRefusals   recentRefusals
 	// model estimates how long requests take at the targets.
-	model       *placement.Model
-	balance     *balance.Balancer
-	classifier  classifier
+	model      *placement.Model
+	balance    *balance.Balancer
+	classifier classifier
+	// work estimates the work of each route. routeTrials schedules the trials of those routes whose requests are refused for lack of time.
+	work        *worktime.Estimates
+	routeTrials map[string]*trials
 	latency     latency
 	retryBudget tokenBucket
 	lossLog     *logging.Limiter
@@ -109,6 +113,8 @@
 		unreachableSince: map[*target]time.Time{},
 		recentRefusals:   recentRefusals{refusedAt: map[uint32]time.Time{}},
 		model:            placement.NewModel(maxRoutes),
+		work:             worktime.New(maxRoutes),
+		routeTrials:      map[string]*trials{},
 		metrics:          newDispatcherMetrics(m.scope, service),
 		balance: balance.New(balance.Options{
 			Domain: m.opts.FailureDomain, Region: m.self.Region, ShiftShare: m.opts.ShiftShare, ShiftWindow: m.opts.ShiftWindow,
@@ -232,18 +238,18 @@
 	}
 }
 
-// processDue frees the slots of expired permits, finds out which targets have ended, refuses waiting requests that can no longer meet their
-// deadline, and grants the free slots.
+// processDue frees the slots of expired permits, finds out which targets have ended, grants the free slots, and refuses the waiting requests
+// that can no longer meet their deadline. A request that arrives with little time is granted a free slot before it could be refused.
 func (d *dispatcher) processDue(now time.Time) {
 	for p := d.slots.popExpired(now); p != nil; p = d.slots.popExpired(now) {
 		d.abandon(p, p.granted) // its holder may be lost
 	}
 	d.confirmEnds(now)
 	d.abandoned.sweep(now)
-	d.refuseOverdue(now)
 	d.refusePoison(now)
 	d.grantWaiting(now)
 	d.grantObjectives(now)
+	d.refuseOverdue(now)
 	d.updateGauges(now)
 }
 
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -59,7 +59,7 @@
 	d.lastPermitID++
 	p := &permit{
 		key: permitKey{d.id, d.lastPermitID}, target: t, holder: w.from, requestID: w.req.ID, route: w.req.Route,
-		fingerprint: w.req.Fingerprint, class: w.class,
+		fingerprint: w.req.Fingerprint, class: w.class, trial: w.trial,
 		granted: now, expires: w.deadline.Add(expiryGrace), process: process{t.name, t.config.GetStartedUnixMs()},
 	}
 	if !w.req.Objective.IsZero() {
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -43,6 +43,10 @@
 		w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter), now)
 		return
 	}
+	if r := d.admitTimeLeft(w, now); r != nil {
+		w.result <- d.refused(w, r, now)
+		return
+	}
 	w.place = d.placeOf(w.from)
 	d.planWait(w, now)
 	d.lastSequence++
--- a/pkg/permit/queue.go
+++ b/pkg/permit/queue.go
@@ -18,6 +18,8 @@
 	arrivedAt time.Time
 	class     configv1.RequestClass
 	sequence  uint64
+	// trial is set for a request that is let through although its route seems to need more time than it has.
+	trial bool
 	// waitUntil is when the wait of a request with a latency objective ends.
 	waitUntil time.Time
 	// minWaitUntil is the time until which the request waits even if hardly any slot is free at other targets.
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -116,6 +116,7 @@
 	if outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT {
 		return
 	}
+	d.observeWork(p, r.observation)
 	d.observeResponse(p, r, now)
 	mean := &d.meanHoldTime[p.class]
 	hold := now.Sub(p.granted)
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -21,6 +21,8 @@
 	class       configv1.RequestClass
 	// probe is set if the request probes a target that is quarantined or unreachable.
 	probe bool
+	// trial is set if the request was let through as a trial of its route (see admitTimeLeft).
+	trial bool
 	// objective is set for a request with a latency objective. warm (the target probably has the object in its cache), cold
 	// (the target is filling its caches) and slowdown (as reported by the target) describe the target when the permit was
 	// granted.
