Hold and refuse requests by the time that their callers have

Cause: a request waited an eighth of its latency objective for a slot and was refused after a quarter of it, and one that would miss its objective got spare slots only, with a reserve that was kept for 2 s after a refusal. The objective says what response time the operators aim for, not how long a caller can wait: its caller may have ten times as long. The time left was halved, whatever the work takes.

Change: an expected wait that leaves too little time, or that is longer than a third of the time beyond the work, is refused on arrival; a request is held for twice that wait at most, because estimates are rough, and the last third is left for another failure domain in case the dispatcher does not answer. The reserve is gone: waiting requests are served by priority.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -119,10 +119,12 @@
 
 // Handler is the http.Handler for callers' requests.
 type Handler struct {
-	opts     Options
-	targets  *upstream.Client
-	metrics  *metrics
-	log      requestLog
+	opts    Options
+	targets *upstream.Client
+	metrics *metrics
+	log     requestLog
+	// work holds what is known of the work of each route.
+	work     *workEstimates
 	sequence atomic.Uint64
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -150,7 +152,7 @@
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
-	return &Handler{opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog()}
+	return &Handler{opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog(), work: newWorkEstimates()}
 }
 
 // Close waits for the second attempts of hedged requests and closes the idle connections to targets.
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -64,7 +64,7 @@
 // hedgeRequest returns the permit request of the second attempt. It must be called before the timer starts, so that the goroutine
 // of the second attempt does not read state that belongs to the request's goroutine.
 func (r *hedgeRace) hedgeRequest() permit.Request {
-	q := r.rq.permitRequest()
+	q := r.h.permitRequest(r.rq)
 	q.Hedge = true
 	q.ExcludeTargets = append(slices.Clone(q.ExcludeTargets), r.first.grant.Target)
 	return q
--- a/pkg/entry/obtain.go
+++ b/pkg/entry/obtain.go
@@ -97,10 +97,10 @@
 	if rq.attempts > 0 {
 		h.metrics.retries.Inc(1)
 	}
-	ctx, cancel := rq.acquireContext()
+	ctx, cancel := h.acquireContext(rq)
 	defer cancel()
 	start := time.Now()
-	grant, err := h.opts.Permits.Acquire(ctx, rq.permitRequest())
+	grant, err := h.opts.Permits.Acquire(ctx, h.permitRequest(rq))
 	rq.history.permitWait += time.Since(start)
 	if err != nil {
 		var refused *permit.RefusedError
@@ -109,18 +109,19 @@
 		}
 		return nil, acquireFailure(rq, err)
 	}
+	h.work.record(rq, grant.Decision.ExpectedDuration)
 	rq.history.decision = grant.Decision
 	rq.history.targets = append(rq.history.targets, grant.Target)
 	return grant, nil
 }
 
-func (rq *request) permitRequest() permit.Request {
+func (h *Handler) permitRequest(rq *request) permit.Request {
 	return permit.Request{
 		ID: rq.attemptID(), Service: rq.name, Route: rq.statisticsRoute(), Class: rq.class(), Deadline: rq.deadline,
 		Fingerprint: rq.fingerprint, Command: rq.command, Forwarded: rq.forwarded, Shifted: rq.shifted,
 		Attempt: rq.attempts, Unreached: rq.unreached, ExcludeTargets: rq.excludedTargets,
 		ObjectHash: rq.ruleAffinity(), Priority: rq.rule.GetPriority(),
-		Objective: rq.objective(), QueueTimeout: rq.latency() / queueTimeoutDivisor, HomeRegions: rq.rule.GetHomeRegions(),
+		Objective: rq.objective(), QueueTimeout: h.queueTimeout(rq), HomeRegions: rq.rule.GetHomeRegions(),
 		FollowsRedirects: rq.followsRedirects,
 	}
 }
@@ -155,9 +156,6 @@
 	return time.Duration(rq.rule.GetLatencyMs()) * time.Millisecond
 }
 
-// queueTimeoutDivisor sets how long a request waits for a slot: the latency objective divided by it.
-const queueTimeoutDivisor = 8
-
 // maxAttempts returns the maximum number of attempts of this request: the limit of its rule, up to the constant maxAttempts.
 func (rq *request) maxAttempts() int {
 	if n := int(rq.rule.GetAttempts()); n > 0 {
--- a/pkg/entry/redirect.go
+++ b/pkg/entry/redirect.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -9,20 +8,6 @@
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 )
 
-// acquireTimeoutDivisor sets how long a host waits for the dispatcher's decision: the latency objective divided by it. The
-// dispatcher queues a request for a shorter time (see queueTimeoutDivisor). It queues one longer only for a full target that
-// probably has the object in its cache and is therefore expected to complete the request first.
-const acquireTimeoutDivisor = 4
-
-// acquireContext limits how long a request with a latency objective waits for a permit. Replacing a failed dispatcher takes
-// seconds, during which other failure domains can serve the request.
-func (rq *request) acquireContext() (context.Context, context.CancelFunc) {
-	if rq.latency() == 0 {
-		return rq.ctx, func() {}
-	}
-	return context.WithTimeout(rq.ctx, rq.latency()/acquireTimeoutDivisor)
-}
-
 // obtainByDispatcher requests a permit from the dispatcher of this failure domain, which may redirect the request to another one.
 // If no host of that one can be reached, the request is tried once more in this failure domain. If this failure domain has no
 // dispatcher, the request is forwarded once to any other failure domain that may serve it.
--- /dev/null
+++ b/pkg/entry/spare.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// The spare time of a request is the time until its deadline beyond the work that it needs. A request that matches a rule uses a third of it
+// for the wait that its dispatcher expects, and another third in case that the wait turns out longer. The rest is left for another failure
+// domain, in case that the dispatcher does not answer: replacing a failed one takes seconds.
+
+const (
+	// spareParts is the number of parts of the spare time, waitParts how many of them a request waits for its dispatcher's answer.
+	spareParts = 3
+	waitParts  = 2
+	// decisionDelay is the time that the dispatcher's answer takes beyond the wait: the network, and a busy processor at both ends.
+	decisionDelay = 20 * time.Millisecond
+	// minQueueTimeout stands for no wait: a queue timeout of 0 means that there is none.
+	minQueueTimeout = time.Millisecond
+	// maxWorkEstimates bounds the memory of the estimates; routes and rules come from the configuration.
+	maxWorkEstimates = 4096
+)
+
+// workEstimates holds how long the requests of each route take, as the dispatchers expected at the last grant.
+type workEstimates struct {
+	mu      sync.Mutex
+	byRoute map[workKey]time.Duration
+}
+
+type workKey struct{ service, route string }
+
+func newWorkEstimates() *workEstimates { return &workEstimates{byRoute: map[workKey]time.Duration{}} }
+
+func (e *workEstimates) record(rq *request, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.byRoute) >= maxWorkEstimates {
+		clear(e.byRoute)
+	}
+	e.byRoute[workKey{rq.name, rq.statisticsRoute()}] = expected
+}
+
+// spareTime returns the spare time that is left now. A route of which nothing is known counts as one without work.
+func (e *workEstimates) spareTime(rq *request) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, time.Until(rq.deadline)-e.byRoute[workKey{rq.name, rq.statisticsRoute()}])
+}
+
+// queueTimeout returns the longest expected wait for a permit, or 0 if the request may wait until its deadline.
+func (h *Handler) queueTimeout(rq *request) time.Duration {
+	if rq.rule == nil {
+		return 0
+	}
+	return max(minQueueTimeout, (h.work.spareTime(rq)-decisionDelay)/spareParts)
+}
+
+// acquireContext limits how long a request waits for the dispatcher's answer.
+func (h *Handler) acquireContext(rq *request) (context.Context, context.CancelFunc) {
+	if rq.rule == nil {
+		return rq.ctx, func() {}
+	}
+	return context.WithTimeout(rq.ctx, waitParts*h.queueTimeout(rq)+decisionDelay)
+}
--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -54,6 +54,9 @@
 // complete, or nil. Without that margin, a long queue would spend the slots on answers that come just too late.
 func (d *dispatcher) admitWait(w *waiter, now time.Time) *RefusedError {
 	delay := d.queueDelay(w.class, d.waitersAhead(w))
+	if w.req.QueueTimeout > 0 && delay > w.req.QueueTimeout {
+		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, delay)
+	}
 	if delay > 0 && now.Add(delay+d.work.Likely(w.req.Route)).After(w.deadline) {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay)
 	}
--- a/pkg/permit/class.go
+++ b/pkg/permit/class.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -127,6 +128,9 @@
 
 // waitersAhead returns the number of waiting requests of the same class that are served before w.
 func (d *dispatcher) waitersAhead(w *waiter) int {
+	if !w.req.Objective.IsZero() {
+		return slices.Index(d.objectiveWaiters, w)
+	}
 	index := queueOf(w.class, w.req.Forwarded)
 	n := d.queues[index].rank(w.deadline)
 	if w.req.Forwarded {
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -58,7 +58,6 @@
 	queues          [queueCount]queue
 	// objectiveWaiters holds the waiting requests with a latency objective, sorted by priority and then by arrival.
 	objectiveWaiters []*waiter
-	recentRefusals   recentRefusals
 	// model estimates how long requests take at the targets.
 	model      *placement.Model
 	balance    *balance.Balancer
@@ -111,7 +110,6 @@
 		classifier:  classifier{routes: map[string]*routeStats{}},
 		followers:   map[string]*follower{}, releasedEarly: map[permitKey]bool{},
 		unreachableSince: map[*target]time.Time{},
-		recentRefusals:   recentRefusals{refusedAt: map[uint32]time.Time{}},
 		model:            placement.NewModel(maxRoutes),
 		work:             worktime.New(maxRoutes),
 		routeTrials:      map[string]*trials{},
@@ -265,7 +263,7 @@
 		wake = d.slots.expiries[0].expires
 	}
 	for _, w := range d.objectiveWaiters {
-		for _, end := range []time.Time{w.waitUntil, w.minWaitUntil} {
+		for _, end := range []time.Time{w.waitUntil, w.awaitUntil} {
 			if end.Before(wake) && end.After(now) {
 				wake = end
 			}
--- a/pkg/permit/objective.go
+++ b/pkg/permit/objective.go
@@ -10,15 +10,10 @@
 
 // Requests with a latency objective.
 //
-// Under overload, one answer within the objective is worth more than several late ones, and a FIFO queue would spend the slots
-// on answers that are late by the time they are given. A request with an objective therefore waits for a part of the objective
-// at most, and is granted a slot where it is expected to meet the objective. Otherwise it is refused, unless there are spare
-// slots. The reserve for requests that can meet their objective is small: at 95% utilization, one or two of forty slots are free.
+// They wait in order of priority and then of arrival, for as long as their callers' time allows. The objective is a target for the responses
+// of the service, which the burn report shows; it says nothing about how long a caller can wait.
 
 const (
-	// reserveDivisor sets the reserve: a request that will miss its objective gets a slot only if more than 1/reserveDivisor of
-	// all slots are free.
-	reserveDivisor = 20
 	// equalTimeTolerance is the relative difference up to which two expected times count as equal.
 	equalTimeTolerance = 0.03
 	// preferredTargetFactor limits the choice by rendezvous weight. Of two targets that have not cached an object, the one with
@@ -47,11 +42,16 @@
 		w.result <- d.refused(w, r, now)
 		return
 	}
-	w.place = d.placeOf(w.from)
-	d.planWait(w, now)
 	d.lastSequence++
 	w.sequence = d.lastSequence
 	d.pushObjective(w)
+	if r := d.admitWait(w, now); r != nil {
+		d.removeObjective(w)
+		w.result <- d.refused(w, r, now)
+		return
+	}
+	w.place = d.placeOf(w.from)
+	d.planWait(w, now)
 }
 
 func (d *dispatcher) admitObjective(w *waiter, now time.Time) *RefusedError {
@@ -66,30 +66,30 @@
 	return d.admitAttempt(w, now)
 }
 
-// planWait sets how long a request waits, and for which target. The target at which it is expected to complete first may have no
-// free slot. The request then waits for that target, because a target that has not cached the object would take several times as
-// long. It waits beyond its queue timeout only while enough slots are free elsewhere, so that it is not refused after a long
-// wait.
+// planWait sets until when a request waits at most, and for which target. The target at which it is expected to complete first may have no
+// free slot. The request then waits for that target, because one that has not cached the object would take several times as long.
 func (d *dispatcher) planWait(w *waiter, now time.Time) {
-	objective := w.req.Objective.Sub(now)
-	timeout := min(w.req.QueueTimeout, max(0, w.deadline.Sub(now)/2))
+	w.waitUntil = d.latestStart(w)
+	limit := w.deadline.Sub(now) - d.work.Likely(w.req.Route)
+	if w.req.QueueTimeout > 0 {
+		w.waitUntil = earlier(w.waitUntil, now.Add(waitErrorFactor*w.req.QueueTimeout))
+		limit = min(limit, w.req.QueueTimeout)
+	}
 	best, wait, total := d.earliestCompletion(w, now)
-	slack := objective - withMargin(total)
-	w.willMissObjective = best == nil || slack < 0
-	w.minWaitUntil = now.Add(timeout)
-	free, slots := d.slots.totals()
-	switch {
-	case w.willMissObjective:
-		w.waitUntil = now.Add(timeout)
-	case wait > 0 && free > slots/reserveDivisor:
-		w.awaitedTarget = best
-		w.waitUntil = now.Add(min(wait+slack, 2*wait+timeout))
-	default:
-		w.waitUntil = now.Add(min(timeout, wait+slack))
+	if best == nil || wait == 0 || wait > limit {
+		return
 	}
-	if w.awaitedTarget != nil {
-		w.awaitedTarget.awaitingWaiters++
+	w.awaitedTarget = best
+	w.awaitUntil = now.Add(min(waitErrorFactor*wait, limit))
+	w.awaitedEnd = now.Add(total)
+	best.awaitingWaiters++
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // earliestCompletion returns the target at which a request is expected to complete first, the time until a slot is free there,
@@ -100,10 +100,7 @@
 			!t.rateLimit.allows(now) {
 			continue
 		}
-		untilFree, known := t.untilFree(now)
-		if !known {
-			continue
-		}
+		untilFree := t.untilFree(now, d.meanHoldTime[w.class])
 		if end := untilFree + d.expectedTime(w, t, now); best == nil || end < total {
 			best, wait, total = t, untilFree, end
 		}
@@ -111,12 +108,12 @@
 	return best, wait, total
 }
 
-// untilFree returns the time until the next slot that no other waiter is waiting for is expected to be free. known is false if
-// too few of the requests in flight have an expected end. Requests past their expected end do not count, because their remaining
-// time is unknown.
-func (t *target) untilFree(now time.Time) (wait time.Duration, known bool) {
-	if t.freeSlots() > t.awaitingWaiters {
-		return 0, true
+// untilFree returns the time until the next slot that no other waiter is waiting for is expected to be free. meanHold is the mean time for
+// which a request occupies a slot. Requests past their expected end do not count, because their remaining time is unknown.
+func (t *target) untilFree(now time.Time, meanHold time.Duration) time.Duration {
+	position := t.awaitingWaiters - t.freeSlots()
+	if position < 0 {
+		return 0
 	}
 	var ends []time.Time
 	for _, p := range t.health.inFlight {
@@ -124,12 +121,11 @@
 			ends = append(ends, p.expectedEnd)
 		}
 	}
-	position := t.awaitingWaiters - t.freeSlots()
-	if position >= len(ends) {
-		return 0, false
+	if position < len(ends) {
+		slices.SortFunc(ends, time.Time.Compare)
+		return ends[position].Sub(now)
 	}
-	slices.SortFunc(ends, time.Time.Compare)
-	return ends[position].Sub(now), true
+	return time.Duration(position+1) * meanHold / time.Duration(max(1, t.slots))
 }
 
 // pushObjective queues a request, ordered by priority and then by arrival.
@@ -167,15 +163,12 @@
 	}
 	kept := d.objectiveWaiters[:0]
 	for _, w := range d.objectiveWaiters {
-		free, total := d.slots.totals()
-		ended := w.waitExpired(free, total, now)
-		switch t := d.selectTarget(w, free, total, ended, now); {
+		switch t := d.selectTarget(w, now); {
 		case t != nil:
 			w.stopAwaiting()
 			d.grant(w, t, now)
-		case ended:
+		case !now.Before(w.waitUntil):
 			w.stopAwaiting()
-			d.recentRefusals.record(w.req.Priority, now)
 			w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, d.retryHint(w, now)), now)
 		default:
 			kept = append(kept, w)
@@ -185,42 +178,17 @@
 	d.objectiveWaiters = kept
 }
 
-// waitExpired reports whether a request's wait has ended. Beyond its queue timeout it waits only while more slots than the
-// reserve are free.
-func (w *waiter) waitExpired(free, total int, now time.Time) bool {
-	return !now.Before(w.waitUntil) || !now.Before(w.minWaitUntil) && free <= total/reserveDivisor
-}
-
-// selectTarget returns the target that a request gets now, or nil. If the request is expected to meet its objective at the best
-// free target, it gets that one, except that it leaves a reserve of slots if a more urgent request was refused recently. If it
-// would miss its objective there, it must also leave 1/reserveDivisor of all slots, and it gets the target only once its wait has
-// ended, or earlier if it will miss its objective at every target.
-func (d *dispatcher) selectTarget(w *waiter, free, total int, ended bool, now time.Time) *target {
-	if free == 0 || !d.active || !d.followers[w.from.host].isFollowing(w.from) {
+// selectTarget returns the target that a request gets now, or nil. A request that waits for a target gets no other one meanwhile, unless
+// that has probably the object in its cache too.
+func (d *dispatcher) selectTarget(w *waiter, now time.Time) *target {
+	if !d.active || !d.followers[w.from.host].isFollowing(w.from) {
 		return nil
 	}
 	t, expected := d.bestTarget(w, now)
-	if t == nil {
-		return nil
-	}
-	inTime := now.Add(withMargin(expected)).Before(w.req.Objective)
-	reserve := 0
-	if d.recentRefusals.anyMoreUrgent(w.req.Priority, now) {
-		reserve += 1 + total/reserveDivisor
-	}
-	if w.awaitedTarget != nil && !ended && !d.likelyCached(t, w.req.ObjectHash) {
-		return nil // the awaited target is faster, even with the wait for it
-	}
-	if inTime {
-		if free > reserve {
-			return t
-		}
-		return nil
-	}
-	if (w.willMissObjective || ended) && free > reserve+total/reserveDivisor {
+	if t == nil || w.awaitedTarget == nil || t == w.awaitedTarget || !now.Before(w.awaitUntil) || now.Add(expected).Before(w.awaitedEnd) {
 		return t
 	}
-	return nil
+	return nil // the awaited target is faster, even with the wait for it
 }
 
 // bestTarget returns the free target at which a request is expected to complete first. A target that is due for a probe comes
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -44,8 +44,8 @@
 	Priority uint32
 	// Objective is the time by which the response must arrive to meet the latency objective; zero if the request has none.
 	Objective time.Time
-	// QueueTimeout is how long a request with an objective waits for a slot. While enough slots are free at other targets, it may
-	// wait longer for a target that is expected to complete it sooner.
+	// QueueTimeout is the longest expected wait for a slot with which the request is queued; 0 means as long as its deadline allows. The
+	// actual wait may be up to twice as long.
 	QueueTimeout time.Duration
 	// HomeRegions are the regions in which the request may be served; empty means all.
 	HomeRegions []string
--- a/pkg/permit/queue.go
+++ b/pkg/permit/queue.go
@@ -20,15 +20,14 @@
 	sequence  uint64
 	// trial is set for a request that is let through although its route seems to need more time than it has.
 	trial bool
-	// waitUntil is when the wait of a request with a latency objective ends.
+	// waitUntil is when the wait of a request ends.
 	waitUntil time.Time
-	// minWaitUntil is the time until which the request waits even if hardly any slot is free at other targets.
-	minWaitUntil time.Time
-	// willMissObjective is set if no target is expected to complete the request within its objective.
-	willMissObjective bool
 	// awaitedTarget is a target without a free slot that is still expected to complete the request before any other target
-	// would; nil if there is none.
+	// would; nil if there is none. awaitUntil is when the request takes any other target.
 	awaitedTarget *target
+	awaitUntil    time.Time
+	// awaitedEnd is when the request is expected to be complete at the awaited target.
+	awaitedEnd time.Time
 	// newest is the newest dispatcher known to the requesting host. A dispatcher that is older is superseded by the call.
 	newest dispatcherID
 	// result has capacity for the single answer, so that the dispatcher never blocks on a caller.
--- a/pkg/permit/refusals.go
+++ b/pkg/permit/refusals.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// refusalTTL is how long the refusal of a request keeps slots reserved from less urgent requests of its service.
-	refusalTTL = 2 * time.Second
 	// lateRetryAfter is the shortest retry hint for a request that can no longer meet its objective: an earlier retry would
 	// probably find the service just as full.
 	lateRetryAfter = 200 * time.Millisecond
@@ -21,28 +19,3 @@
 	}
 	return max(next, lateRetryAfter)
 }
-
-// recentRefusals holds the last refusal of a service's requests by priority. Slots are reserved from less urgent requests only
-// after a more urgent one was refused: a permanent reserve would leave slots unused while there are few urgent requests.
-type recentRefusals struct {
-	// refusedAt is the time of the last refusal for lack of a slot, by priority.
-	refusedAt map[uint32]time.Time
-}
-
-func (r *recentRefusals) record(priority uint32, now time.Time) {
-	if len(r.refusedAt) > maxRoutes {
-		clear(r.refusedAt)
-	}
-	r.refusedAt[priority] = now
-}
-
-// anyMoreUrgent reports whether a request of the service with a higher urgency (a lower priority number) was refused within
-// refusalTTL.
-func (r *recentRefusals) anyMoreUrgent(priority uint32, now time.Time) bool {
-	for p, at := range r.refusedAt {
-		if p < priority && now.Sub(at) < refusalTTL {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/permit/workleft.go
+++ b/pkg/permit/workleft.go
@@ -25,6 +25,9 @@
 	deadlineErrorDivisor = 10
 )
 
+// waitErrorFactor is how many times as long as expected a request waits. The expected wait assumes that all requests take the mean time.
+const waitErrorFactor = 2
+
 // trials schedules the trials of one route.
 type trials struct {
 	next     time.Time
