Queue all requests in one order, by priority and deadline

Cause: requests with a latency objective had a queue of their own, in order of arrival and with a limit of its own, 512 beside 8192; they were never hedged, and only their times and objects were observed.

Change: one queue, by priority, precedence (short before long, local before forwarded unless load balancing sent them) and deadline; one admission, and one choice of target, by the expected completion. A queue by deadline alone would hold callers with much time and refuse them for the sake of later ones with less: a request that delays a waiting one of its rank beyond its expected start is refused on arrival.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -7,41 +7,49 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
 
-// apply submits the request to admission control, which queues it or refuses it at once. A queued request is granted a slot
-// right away if one is free.
+// apply submits the request to admission control, which redirects, queues or refuses it at once. A queued request is granted a slot right away
+// if one is free.
 func (w *waiter) apply(d *dispatcher, now time.Time) {
 	if d.id.olderThan(w.newest) {
 		d.supersede(w.newest)
 	}
 	w.class = d.classifier.classOf(w.req.Class, w.req.Route)
-	if !w.req.Objective.IsZero() {
-		w.applyObjective(d, now)
+	if r := d.admitRequest(w, now); r != nil {
+		w.result <- d.refused(w, r, now)
 		return
 	}
-	if r := d.admit(w, now); r != nil {
-		w.result <- answer{refusal: r}
+	if domain := d.chooseDomain(w, now); domain != "" {
+		w.result <- answer{redirectTo: domain}
 		return
 	}
 	d.earnRetryTokens(w)
 	d.lastSequence++
 	w.sequence = d.lastSequence
-	d.queues[queueOf(w.class, w.req.Forwarded)].push(w)
+	w.place, w.precedence, w.work = d.placeOf(w.from), d.precedence(w), d.expectedWork(w)
+	if r := d.admitToSlots(w, now); r != nil {
+		w.result <- d.refused(w, r, now)
+		return
+	}
+	d.planWait(w, now)
+	d.queue.push(w)
 }
 
-// admit returns the refusal of a request on arrival, or nil if the request may be queued.
-func (d *dispatcher) admit(w *waiter, now time.Time) *RefusedError {
-	switch {
-	case d.superseded || !d.ensureFollower(w.from):
+// admitRequest returns the refusal of a request that this dispatcher does not serve, wherever the slots are; nil if it does.
+func (d *dispatcher) admitRequest(w *waiter, now time.Time) *RefusedError {
+	if d.superseded || !d.ensureFollower(w.from) {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NOT_DISPATCHER, 0)
+	}
+	return d.admitAttempt(w, now)
+}
+
+// admitToSlots returns the refusal of a request that the targets of this failure domain cannot serve in time, or nil if it may be queued.
+func (d *dispatcher) admitToSlots(w *waiter, now time.Time) *RefusedError {
+	switch {
 	case !d.hasUsableTarget(w, now):
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter)
-	case d.waitingCount(w.class) >= maxQueue:
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, d.queueDelay(w.class, maxQueue))
-	}
-	if r := d.admitAttempt(w, now); r != nil {
-		return r
-	}
-	if w.req.Hedge {
+	case len(d.queue) >= maxQueue:
+		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, d.queueDelay(w.class))
+	case w.req.Hedge:
 		return d.admitHedge(w, now)
 	}
 	if r := d.admitTimeLeft(w, now); r != nil {
@@ -50,19 +58,40 @@
 	return d.admitWait(w, now)
 }
 
-// admitWait returns the refusal of a request whose expected wait does not leave the time within which requests of its route very likely
-// complete, or nil. Without that margin, a long queue would spend the slots on answers that come just too late.
+// admitWait returns the refusal of a request that has to wait too long, or that would make one wait too long that waits already; nil if it
+// may be queued. The wait must leave the time within which requests of its route very likely complete. Without that margin, a long queue would
+// spend the slots on answers that come just too late.
 func (d *dispatcher) admitWait(w *waiter, now time.Time) *RefusedError {
-	delay := d.queueDelay(w.class, d.waitersAhead(w))
-	if w.req.QueueTimeout > 0 && delay > w.req.QueueTimeout {
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, delay)
+	limit := w.deadline.Sub(now) - d.work.Likely(w.req.Route)
+	if w.req.QueueTimeout > 0 {
+		limit = min(limit, w.req.QueueTimeout)
 	}
-	if delay > 0 && now.Add(delay+d.work.Likely(w.req.Route)).After(w.deadline) {
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay)
+	w.startBy = now.Add(limit)
+	capacity := d.capacityFor(w.class)
+	delay := capacity.delay(d.queue.ahead(w))
+	if delay > 0 && delay > limit || d.displaces(w, capacity, now) {
+		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, d.queueDelay(w.class))
 	}
 	return nil
 }
 
+// displaces reports whether a request with an earlier deadline would delay a waiting one of its rank beyond the start that was expected when
+// that one was queued. A caller that was held must not be refused for the sake of one that came later.
+func (d *dispatcher) displaces(w *waiter, capacity classCapacity, now time.Time) bool {
+	ahead := d.queue.ahead(w)
+	ahead.add(w)
+	for _, behind := range d.queue.behind(w) {
+		if behind.class != w.class {
+			continue
+		}
+		if behind.hasRankOf(w) && now.Add(capacity.delay(ahead)).After(behind.startBy) {
+			return true
+		}
+		ahead.add(behind)
+	}
+	return false
+}
+
 // hasUsableTarget reports whether any target could serve the request, regardless of free slots.
 func (d *dispatcher) hasUsableTarget(w *waiter, now time.Time) bool {
 	return slices.ContainsFunc(d.slots.order, func(t *target) bool {
@@ -90,33 +119,28 @@
 	return &RefusedError{Reason: reason, RetryAfter: retryAfter}
 }
 
-// refuseOverdue refuses waiting requests that can no longer complete by their deadline. Each queue is sorted by deadline, so only
-// its head can be overdue.
+// refuseOverdue refuses the requests whose wait has ended.
 func (d *dispatcher) refuseOverdue(now time.Time) {
-	for i := range d.queues {
-		q := &d.queues[i]
-		for q.len() > 0 && !now.Before(d.latestStart(q.waiting()[0])) {
-			w := q.waiting()[0]
-			q.removeAt(0)
-			delay := d.queueDelay(w.class, d.waitingCount(w.class))
-			w.result <- answer{refusal: newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay)}
+	var refused []*waiter
+	d.queue.removeFunc(func(w *waiter) bool {
+		overdue := !now.Before(w.waitUntil)
+		if overdue {
+			refused = append(refused, w)
 		}
+		return overdue
+	})
+	for _, w := range refused {
+		delay := d.queueDelay(w.class)
+		w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay), now)
 	}
 }
 
 // refuseAll refuses all waiting requests.
 func (d *dispatcher) refuseAll(reason peerv1.RefusalReason, retryAfter time.Duration) {
-	for _, w := range d.objectiveWaiters {
-		w.stopAwaiting()
+	d.queue.removeFunc(func(w *waiter) bool {
 		w.result <- answer{refusal: newRefusal(reason, retryAfter)}
-	}
-	d.objectiveWaiters = nil
-	for i := range d.queues {
-		for _, w := range d.queues[i].waiting() {
-			w.result <- answer{refusal: newRefusal(reason, retryAfter)}
-		}
-		d.queues[i] = queue{}
-	}
+		return true
+	})
 }
 
 // refusePending refuses all waiting requests and those in the event channel, and applies the other events there. It runs when the
--- a/pkg/permit/bookkeeping_test.go
+++ b/pkg/permit/bookkeeping_test.go
@@ -34,7 +34,7 @@
 	awaited := &target{name: "t"}
 	w := &waiter{result: make(chan answer, 1), awaitedTarget: awaited}
 	awaited.awaitingWaiters = 1
-	d := &dispatcher{service: "s", slots: newSlotTable(), objectiveWaiters: []*waiter{w}}
+	d := &dispatcher{service: "s", slots: newSlotTable(), queue: queue{w}}
 	d.refuseAll(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, time.Second)
 	is.Equal((<-w.result).refusal.Reason, peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET)
 	is.Equal(awaited.awaitingWaiters, 0)
--- a/pkg/permit/class.go
+++ b/pkg/permit/class.go
@@ -1,8 +1,8 @@
 package permit
 
 import (
+	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -104,52 +104,57 @@
 	}
 }
 
-// Indexes of the queues in strict order of precedence: short requests before long ones, and local requests before those forwarded
-// from other failure domains.
+// Precedence of the requests of one priority: short requests come before long ones, and local requests before those forwarded from other
+// failure domains.
 const (
-	queueShortLocal = iota
-	queueShortForwarded
-	queueLongLocal
-	queueLongForwarded
-	queueCount
+	precedenceShortLocal = iota
+	precedenceShortForwarded
+	precedenceLongLocal
+	precedenceLongForwarded
 )
 
-// queueOf returns the index of the queue for a request.
-func queueOf(class configv1.RequestClass, forwarded bool) int {
-	index := queueShortLocal
-	if class == classLong {
-		index = queueLongLocal
+// precedence returns the precedence of a request. Load balancing sends this failure domain only what fits into its slots, so that forwarded
+// requests count as local ones then.
+func (d *dispatcher) precedence(w *waiter) int {
+	p := precedenceShortLocal
+	if w.class == classLong {
+		p = precedenceLongLocal
 	}
-	if forwarded {
-		index++
+	if w.req.Forwarded && !d.balancingEnabled() {
+		p++
 	}
-	return index
+	return p
 }
 
-// waitersAhead returns the number of waiting requests of the same class that are served before w.
-func (d *dispatcher) waitersAhead(w *waiter) int {
-	if !w.req.Objective.IsZero() {
-		return slices.Index(d.objectiveWaiters, w)
-	}
-	index := queueOf(w.class, w.req.Forwarded)
-	n := d.queues[index].rank(w.deadline)
-	if w.req.Forwarded {
-		n += d.queues[index-1].len()
-	}
-	return n
+// classCapacity is what the slots can do for a request class.
+type classCapacity struct {
+	// free is the number of slots that are free now, usable the number that the class could have while the other one keeps its slots.
+	free, usable int
+	// meanHold is the mean time for which a request occupies its slot.
+	meanHold time.Duration
 }
 
-// queueDelay estimates the time until a request gets a slot when the given number of requests of its class is ahead of it.
-func (d *dispatcher) queueDelay(class configv1.RequestClass, ahead int) time.Duration {
+func (d *dispatcher) capacityFor(class configv1.RequestClass) classCapacity {
 	free, usable := d.slots.capacity(class)
-	if ahead < free {
+	return classCapacity{free: free, usable: max(1, usable), meanHold: d.meanHoldTime[class]}
+}
+
+// delay estimates the time until a request gets a slot when others of its class are ahead of it: that of the first slot that is expected to
+// be free, and that of the work ahead which does not find a free slot now.
+func (c classCapacity) delay(ahead backlog) time.Duration {
+	if ahead.requests < c.free {
 		return 0
 	}
-	return time.Duration(ahead-free+1) * d.meanHoldTime[class] / time.Duration(max(1, usable))
+	queued := ahead.work * time.Duration(ahead.requests-c.free) / time.Duration(max(1, ahead.requests))
+	return (queued + c.meanHold) / time.Duration(c.usable)
+}
+
+// queueDelay estimates the time until a request gets a slot that is served after all waiting requests of its class.
+func (d *dispatcher) queueDelay(class configv1.RequestClass) time.Duration {
+	return d.capacityFor(class).delay(d.queue.backlog(class))
 }
 
-// waitingCount returns the number of waiting requests of a class, local and forwarded ones.
-func (d *dispatcher) waitingCount(class configv1.RequestClass) int {
-	first := queueOf(class, false)
-	return d.queues[first].len() + d.queues[first+1].len()
+// expectedWork returns the time for which a request is expected to occupy a slot, wherever it is served.
+func (d *dispatcher) expectedWork(w *waiter) time.Duration {
+	return cmp.Or(d.work.Mean(w.req.Route), d.meanHoldTime[w.class])
 }
--- a/pkg/permit/decision.go
+++ b/pkg/permit/decision.go
@@ -10,11 +10,7 @@
 // if the request is refused, and w is then not used.
 func (d *dispatcher) decision(w *waiter, t *target, now time.Time) Decision {
 	free, total := d.slots.totals()
-	waiting := len(d.objectiveWaiters)
-	for i := range d.queues {
-		waiting += d.queues[i].len()
-	}
-	decision := Decision{Dispatcher: d.id.host, FreeSlots: free, TotalSlots: total, Waiting: waiting}
+	decision := Decision{Dispatcher: d.id.host, FreeSlots: free, TotalSlots: total, Waiting: len(d.queue)}
 	if t != nil {
 		decision.ExpectedDuration, decision.Cached = d.expectedTime(w, t, now), d.likelyCached(t, w.req.ObjectHash)
 	}
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
@@ -13,7 +12,7 @@
 )
 
 const (
-	// maxQueue is the largest number of waiting requests of a class. It bounds memory only: in normal operation admission
+	// maxQueue is the largest number of waiting requests. It bounds memory only: in normal operation admission
 	// control sheds load at far shorter queues.
 	maxQueue = 8192
 	// eventBuffer is the capacity of the event channel; it absorbs bursts, so that senders rarely block.
@@ -55,9 +54,7 @@
 	// lastViewChanged is the change channel of the membership view that the dispatcher last processed.
 	lastViewChanged <-chan struct{}
 	slots           *slotTable
-	queues          [queueCount]queue
-	// objectiveWaiters holds the waiting requests with a latency objective, sorted by priority and then by arrival.
-	objectiveWaiters []*waiter
+	queue           queue
 	// model estimates how long requests take at the targets.
 	model      *placement.Model
 	balance    *balance.Balancer
@@ -246,39 +243,25 @@
 	d.abandoned.sweep(now)
 	d.refusePoison(now)
 	d.grantWaiting(now)
-	d.grantObjectives(now)
 	d.refuseOverdue(now)
 	d.updateGauges(now)
 }
 
-// anyWaiting reports whether any request waits for a slot.
-func (d *dispatcher) anyWaiting() bool {
-	return len(d.objectiveWaiters) > 0 || slices.ContainsFunc(d.queues[:], func(q queue) bool { return q.len() > 0 })
-}
-
 // nextWake returns the latest time at which processDue must run again.
 func (d *dispatcher) nextWake(now time.Time) time.Time {
 	wake := now.Add(maxSleep)
 	if len(d.slots.expiries) > 0 && d.slots.expiries[0].expires.Before(wake) {
 		wake = d.slots.expiries[0].expires
 	}
-	for _, w := range d.objectiveWaiters {
+	for _, w := range d.queue {
 		for _, end := range []time.Time{w.waitUntil, w.awaitUntil} {
 			if end.Before(wake) && end.After(now) {
 				wake = end
 			}
 		}
 	}
-	if at := d.slots.nextToken(now); !at.IsZero() && at.Before(wake) && d.anyWaiting() {
+	if at := d.slots.nextToken(now); !at.IsZero() && at.Before(wake) && len(d.queue) > 0 {
 		wake = at
 	}
-	for i := range d.queues {
-		if d.queues[i].len() == 0 {
-			continue
-		}
-		if due := d.latestStart(d.queues[i].waiting()[0]); due.Before(wake) {
-			wake = due
-		}
-	}
 	return wake
 }
--- a/pkg/permit/estimate.go
+++ b/pkg/permit/estimate.go
@@ -38,7 +38,7 @@
 	t := p.target
 	slowdownAtGrant := p.slowdown
 	t.speed.Report(o.SlowdownPercent, now)
-	if !p.objective || o.Total <= 0 {
+	if o.Total <= 0 {
 		return
 	}
 	// The slowdown changes while a request runs, so the mean of its values at the start and the end is used.
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -1,56 +1,31 @@
 package permit
 
 import (
-	"slices"
 	"time"
+
+	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
-// grantWaiting grants free slots to the queued requests, queue by queue in order of precedence.
+// grantWaiting grants free slots to the waiting requests in their order. A request that gets none now does not block those behind it: it may
+// exclude all free targets, wait for a certain one, be poison, or come from a host that does not follow this dispatcher yet.
 func (d *dispatcher) grantWaiting(now time.Time) {
-	if d.superseded || !d.active {
+	if d.superseded || !d.active || len(d.queue) == 0 || !d.slots.anyFree() {
 		return
 	}
-	for i := range d.queues {
-		d.grantFromQueue(&d.queues[i], now)
-	}
-}
-
-// grantFromQueue grants free slots in order of deadline. A waiter that excludes all free targets, that may be poison, or whose
-// host does not follow this dispatcher yet is skipped, so that it does not block those behind it.
-func (d *dispatcher) grantFromQueue(q *queue, now time.Time) {
-	for i := 0; i < q.len(); {
-		w := q.waiting()[i]
-		t := d.chooseTarget(w, now)
-		if t == nil && len(w.req.ExcludeTargets) == 0 && !d.manager.poison.IsSuspect(w.req.Fingerprint, now) {
-			return
+	full := map[configv1.RequestClass]bool{}
+	d.queue.removeFunc(func(w *waiter) bool {
+		plain := len(w.req.ExcludeTargets) == 0 && !d.manager.poison.IsSuspect(w.req.Fingerprint, now)
+		if full[w.class] && plain || !d.followers[w.from.host].isFollowing(w.from) {
+			return false
 		}
-		if t == nil || !d.followers[w.from.host].isFollowing(w.from) {
-			i++
-			continue
+		t, free := d.selectTarget(w, now)
+		full[w.class] = full[w.class] || plain && !free
+		if t == nil {
+			return false
 		}
-		q.removeAt(i)
 		d.grant(w, t, now)
-	}
-}
-
-// chooseTarget returns the least loaded target that has a free slot for the request and accepts it; nil if there is none. A
-// target that is due for a probe takes precedence.
-func (d *dispatcher) chooseTarget(w *waiter, now time.Time) *target {
-	var best *target
-	restrictions := d.isolationOf(w, now)
-	for _, t := range d.slots.order {
-		if t.freeSlotsFor(w.class) == 0 || slices.Contains(w.req.ExcludeTargets, t.name) ||
-			d.avoids(t, w, now) || !restrictions.allows(t) || !t.allowsRate(now) {
-			continue
-		}
-		if t.health.quarantined || t.health.down {
-			return t
-		}
-		if best == nil || t.lessLoadedThan(best, w.class) {
-			best = t
-		}
-	}
-	return best
+		return true
+	})
 }
 
 // grant issues a permit for a slot of target t and sends it to the waiter.
@@ -62,14 +37,12 @@
 		fingerprint: w.req.Fingerprint, class: w.class, trial: w.trial,
 		granted: now, expires: w.deadline.Add(expiryGrace), process: process{t.name, t.config.GetStartedUnixMs()},
 	}
-	if !w.req.Objective.IsZero() {
-		p.objective, p.warm, p.cold = true, decision.Cached, now.Before(t.coldUntil)
-		p.recencyRank = t.recentObjects.Rank(w.req.ObjectHash)
-		if decision.ExpectedDuration > 0 {
-			p.expectedEnd = now.Add(decision.ExpectedDuration)
-		}
-		t.recentObjects = t.recentObjects.Touch(w.req.ObjectHash)
+	p.warm, p.cold = decision.Cached, now.Before(t.coldUntil)
+	p.recencyRank = t.recentObjects.Rank(w.req.ObjectHash)
+	if decision.ExpectedDuration > 0 {
+		p.expectedEnd = now.Add(decision.ExpectedDuration)
 	}
+	t.recentObjects = t.recentObjects.Touch(w.req.ObjectHash)
 	p.slowdown = t.speed.Reported(now)
 	t.takeRateToken(now)
 	if d.canProbe(t, w, now) {
--- a/pkg/permit/hedge.go
+++ b/pkg/permit/hedge.go
@@ -56,7 +56,8 @@
 // admitHedge returns the refusal of a hedged request, or nil if it is admitted. A hedged request never waits, and it takes no
 // slot for which others wait.
 func (d *dispatcher) admitHedge(w *waiter, now time.Time) *RefusedError {
-	if d.waitingCount(w.class) > 0 || d.serviceIsSlow() || d.chooseTarget(w, now) == nil || !d.hedgeBudget.take() {
+	t, _ := d.bestTarget(w, now)
+	if t == nil || d.queue.backlog(w.class).requests > 0 || d.serviceIsSlow() || !d.hedgeBudget.take() {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_HEDGE_BUDGET, minRetryAfter)
 	}
 	return nil
--- a/pkg/permit/objective_test.go
+++ b/pkg/permit/overload_test.go
@@ -251,3 +251,27 @@
 		is.True(math.Abs(float64(counts["lookup-1"]-counts["lookup-2"])) < 100)
 	})
 }
+
+// Guards against callers with much time that are held and then refused, because callers with less time came later and were served first.
+func TestHeldRequestsAreNotRefusedForLaterOnes(t *testing.T) {
+	run(t, 6, 3, permittest.Objects(busyLookup), func(d *domain, is *is.I) {
+		short := d.newLoad(time.Second, 200*time.Millisecond, 200*time.Millisecond, 0)
+		patient := d.newLoad(4*time.Second, 200*time.Millisecond, 200*time.Millisecond, 0)
+		for i := range 4000 { // at 1.6 times what the slots can serve, 0.4 times of it from callers with much time
+			l := short
+			if i%4 == 0 {
+				l = patient
+			}
+			l.send(0, 0)
+			time.Sleep(200 * time.Millisecond / 32 * 10 / 16)
+		}
+		d.pending.Wait()
+		for _, l := range []*load{short, patient} {
+			t.Logf("timeout %v: %d in time, %d late, %d refused, %d of them held", l.timeout, l.inTime.Load(), l.late.Load(), l.refused.Load(), l.held.Load())
+			is.True(l.held.Load() <= l.refused.Load()/100)
+			is.Equal(l.late.Load(), int64(0))
+		}
+		is.True(patient.inTime.Load() > 1000*95/100) // more time costs a caller nothing
+		is.True(short.inTime.Load() > 3000/4)        // the slots that are left serve one of two
+	})
+}
--- a/pkg/permit/poison.go
+++ b/pkg/permit/poison.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -55,25 +54,13 @@
 	if !d.manager.poison.HasRecords() {
 		return
 	}
-	refuse := func(w *waiter) bool {
+	d.queue.removeFunc(func(w *waiter) bool {
 		left := d.manager.poison.RefusedFor(w.req.Fingerprint, now)
 		if left > 0 {
 			w.result <- answer{refusal: newRefusal(peerv1.RefusalReason_REFUSAL_REASON_POISON, left)}
 		}
 		return left > 0
-	}
-	for _, w := range slices.Clone(d.objectiveWaiters) {
-		if refuse(w) {
-			d.removeObjective(w)
-		}
-	}
-	for i := range d.queues {
-		for _, w := range slices.Clone(d.queues[i].waiting()) {
-			if refuse(w) {
-				d.queues[i].remove(w)
-			}
-		}
-	}
+	})
 }
 
 // isolation holds the restrictions for a request that may be poison. It runs at one target at a time, and not beside another such request:
--- a/pkg/permit/queue.go
+++ b/pkg/permit/queue.go
@@ -1,8 +1,8 @@
 package permit
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -18,10 +18,14 @@
 	arrivedAt time.Time
 	class     configv1.RequestClass
 	sequence  uint64
+	// precedence orders the waiters of one priority (see dispatcher.precedence).
+	precedence int
+	// work is the time for which the request is expected to occupy a slot.
+	work time.Duration
 	// trial is set for a request that is let through although its route seems to need more time than it has.
 	trial bool
-	// waitUntil is when the wait of a request ends.
-	waitUntil time.Time
+	// startBy is the latest start that was expected when the request was queued. waitUntil is when its wait ends.
+	startBy, waitUntil time.Time
 	// awaitedTarget is a target without a free slot that is still expected to complete the request before any other target
 	// would; nil if there is none. awaitUntil is when the request takes any other target.
 	awaitedTarget *target
@@ -47,49 +51,83 @@
 	redirectTo string
 }
 
-// queue is a priority queue of waiters, earliest deadline first. It is a sorted slice because admission control needs the rank
-// of a deadline, which a binary search finds; most arrivals have the latest deadline, so that insertion is an append.
-type queue struct {
-	items []*waiter
-	// head is the index of the first waiter; the items before it were removed.
-	head int
-}
-
-func (q *queue) len() int { return len(q.items) - q.head }
-
-func (q *queue) waiting() []*waiter { return q.items[q.head:] }
+// queue holds the waiters in the order in which they are served.
+type queue []*waiter
 
-// rank returns the number of waiters that are served before a new one with the given deadline.
-func (q *queue) rank(deadline time.Time) int {
-	w := q.waiting()
-	return sort.Search(len(w), func(i int) bool { return w[i].deadline.After(deadline) })
+// compareWaiters orders waiters by priority, then by precedence, and then by deadline: of two callers with the same rank the one with less time
+// comes first, whatever the response time that their routes aim for.
+func compareWaiters(a, b *waiter) int {
+	return cmp.Or(
+		cmp.Compare(a.req.Priority, b.req.Priority),
+		cmp.Compare(a.precedence, b.precedence),
+		a.deadline.Compare(b.deadline),
+		cmp.Compare(a.sequence, b.sequence),
+	)
 }
 
 func (q *queue) push(w *waiter) {
-	q.items = slices.Insert(q.items, q.head+q.rank(w.deadline), w)
-}
-
-// removeAt removes the waiter at index i of waiting(). Removing the first one only advances head; the slice is compacted once
-// more than half of it is unused.
-func (q *queue) removeAt(i int) {
-	if i > 0 {
-		q.items = slices.Delete(q.items, q.head+i, q.head+i+1)
-		return
-	}
-	q.items[q.head] = nil
-	q.head++
-	if q.head > len(q.items)/2 {
-		q.items = slices.Delete(q.items, 0, q.head)
-		q.head = 0
-	}
+	*q = slices.Insert(*q, q.position(w), w)
 }
 
 // remove removes w and reports whether it was queued.
 func (q *queue) remove(w *waiter) bool {
-	i := slices.Index(q.waiting(), w)
+	i := slices.Index(*q, w)
 	if i < 0 {
 		return false
 	}
-	q.removeAt(i)
+	*q = slices.Delete(*q, i, i+1)
+	w.stopAwaiting()
 	return true
 }
+
+// removeFunc removes the waiters for which remove returns true.
+func (q *queue) removeFunc(remove func(*waiter) bool) {
+	*q = slices.DeleteFunc(*q, func(w *waiter) bool {
+		if !remove(w) {
+			return false
+		}
+		w.stopAwaiting()
+		return true
+	})
+}
+
+// backlog is a number of waiting requests of a class, and the sum of their expected work.
+type backlog struct {
+	requests int
+	work     time.Duration
+}
+
+// backlog returns the waiters of a request class.
+func (q queue) backlog(class configv1.RequestClass) backlog {
+	var b backlog
+	for _, w := range q {
+		if w.class == class {
+			b.add(w)
+		}
+	}
+	return b
+}
+
+func (b *backlog) add(w *waiter) {
+	b.requests++
+	b.work += w.work
+}
+
+// ahead returns the waiters of the class of w that are served before w.
+func (q queue) ahead(w *waiter) backlog {
+	return q[:q.position(w)].backlog(w.class)
+}
+
+// behind returns the waiters that are served after w.
+func (q queue) behind(w *waiter) []*waiter { return q[q.position(w):] }
+
+// position returns the index in the queue that a new waiter gets.
+func (q queue) position(w *waiter) int {
+	i, _ := slices.BinarySearchFunc(q, w, compareWaiters)
+	return i
+}
+
+// hasRankOf reports whether only the deadlines decide which of two waiters comes first.
+func (w *waiter) hasRankOf(o *waiter) bool {
+	return w.req.Priority == o.req.Priority && w.precedence == o.precedence
+}
--- a/pkg/permit/refusals.go
+++ b/pkg/permit/refusals.go
@@ -12,7 +12,7 @@
 // objective then, otherwise lateRetryAfter or later.
 func (d *dispatcher) retryHint(w *waiter, now time.Time) time.Duration {
 	_, total := d.slots.totals()
-	next := d.meanHoldTime[w.class] * time.Duration(len(d.objectiveWaiters)+1) / time.Duration(max(1, total))
+	next := d.meanHoldTime[w.class] * time.Duration(len(d.queue)+1) / time.Duration(max(1, total))
 	best := d.model.Estimate(w.req.Route, w.req.ObjectHash != 0)
 	if now.Add(withMargin(best) + next).Before(w.req.Objective) {
 		return next
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"slices"
 	"time"
 
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
@@ -13,7 +12,7 @@
 type cancelWaiter struct{ w *waiter }
 
 func (c cancelWaiter) apply(d *dispatcher, _ time.Time) {
-	if d.removeObjective(c.w) || d.queues[queueOf(c.w.class, c.w.req.Forwarded)].remove(c.w) {
+	if d.queue.remove(c.w) {
 		return
 	}
 	select {
@@ -33,24 +32,13 @@
 }
 
 func (a abandonRequest) apply(d *dispatcher, _ time.Time) {
-	for _, w := range d.objectiveWaiters {
+	for _, w := range d.queue {
 		if w.from == a.from && w.req.ID == a.requestID {
-			d.removeObjective(w)
+			d.queue.remove(w)
 			w.result <- answer{refusal: newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, 0)}
 			return
 		}
 	}
-	for i := range d.queues {
-		q := &d.queues[i]
-		at := slices.IndexFunc(q.waiting(), func(w *waiter) bool { return w.from == a.from && w.req.ID == a.requestID })
-		if at < 0 {
-			continue
-		}
-		w := q.waiting()[at]
-		q.removeAt(at)
-		w.result <- answer{refusal: newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, 0)}
-		return
-	}
 	for key, p := range d.slots.permits {
 		if p.holder == a.from && p.requestID == a.requestID {
 			d.slots.free(key)
@@ -144,7 +132,7 @@
 	free, total := d.slots.totals()
 	q.reply <- &peerv1.ServiceHeadroom{
 		Service: d.service, FreeSlots: uint32(free), TotalSlots: uint32(total),
-		QueueDelayMs: ceilMilliseconds(d.queueDelay(classShort, d.waitingCount(classShort))),
+		QueueDelayMs: ceilMilliseconds(d.queueDelay(classShort)),
 		DemandSlots:  float32(d.balance.Demand(d.meanHoldTime[classShort])),
 	}
 }
--- a/pkg/permit/objective.go
+++ b/pkg/permit/select.go
@@ -1,84 +1,33 @@
 package permit
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
 
-// Requests with a latency objective.
-//
-// They wait in order of priority and then of arrival, for as long as their callers' time allows. The objective is a target for the responses
-// of the service, which the burn report shows; it says nothing about how long a caller can wait.
-
 const (
 	// equalTimeTolerance is the relative difference up to which two expected times count as equal.
 	equalTimeTolerance = 0.03
 	// preferredTargetFactor limits the choice by rendezvous weight. Of two targets that have not cached an object, the one with
 	// the higher weight is chosen if neither is expected to take more than this many times as long as the other.
 	preferredTargetFactor = 1.4
-	// maxObjectiveQueue bounds the number of waiting requests; most waits time out long before the queue is full.
-	maxObjectiveQueue = 512
 )
 
-// applyObjective handles an arriving request with an objective: it is redirected to another failure domain, queued, or refused.
-func (w *waiter) applyObjective(d *dispatcher, now time.Time) {
-	if r := d.admitObjective(w, now); r != nil {
-		w.result <- d.refused(w, r, now)
-		return
-	}
-	if domain := d.chooseDomain(w, now); domain != "" {
-		w.result <- answer{redirectTo: domain}
-		return
-	}
-	d.earnRetryTokens(w)
-	if !d.hasUsableTarget(w, now) {
-		w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET, noTargetRetryAfter), now)
-		return
-	}
-	if r := d.admitTimeLeft(w, now); r != nil {
-		w.result <- d.refused(w, r, now)
-		return
-	}
-	d.lastSequence++
-	w.sequence = d.lastSequence
-	d.pushObjective(w)
-	if r := d.admitWait(w, now); r != nil {
-		d.removeObjective(w)
-		w.result <- d.refused(w, r, now)
-		return
-	}
-	w.place = d.placeOf(w.from)
-	d.planWait(w, now)
-}
-
-func (d *dispatcher) admitObjective(w *waiter, now time.Time) *RefusedError {
-	switch {
-	case d.superseded || !d.ensureFollower(w.from):
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_NOT_DISPATCHER, 0)
-	case len(d.objectiveWaiters) >= maxObjectiveQueue:
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, lateRetryAfter)
-	case w.req.Hedge:
-		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_HEDGE_BUDGET, minRetryAfter)
-	}
-	return d.admitAttempt(w, now)
-}
-
 // planWait sets until when a request waits at most, and for which target. The target at which it is expected to complete first may have no
 // free slot. The request then waits for that target, because one that has not cached the object would take several times as long.
 func (d *dispatcher) planWait(w *waiter, now time.Time) {
 	w.waitUntil = d.latestStart(w)
-	limit := w.deadline.Sub(now) - d.work.Likely(w.req.Route)
 	if w.req.QueueTimeout > 0 {
 		w.waitUntil = earlier(w.waitUntil, now.Add(waitErrorFactor*w.req.QueueTimeout))
-		limit = min(limit, w.req.QueueTimeout)
 	}
+	limit := w.startBy.Sub(now)
 	best, wait, total := d.earliestCompletion(w, now)
 	if best == nil || wait == 0 || wait > limit {
 		return
 	}
+	if free, _ := d.slots.capacity(w.class); free == 0 && !d.likelyCached(best, w.req.ObjectHash) {
+		return // whichever slot is free first is as good
+	}
 	w.awaitedTarget = best
 	w.awaitUntil = now.Add(min(waitErrorFactor*wait, limit))
 	w.awaitedEnd = now.Add(total)
@@ -128,27 +77,6 @@
 	return time.Duration(position+1) * meanHold / time.Duration(max(1, t.slots))
 }
 
-// pushObjective queues a request, ordered by priority and then by arrival.
-func (d *dispatcher) pushObjective(w *waiter) {
-	i, _ := slices.BinarySearchFunc(d.objectiveWaiters, w, func(a, b *waiter) int {
-		if c := cmp.Compare(a.req.Priority, b.req.Priority); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.sequence, b.sequence)
-	})
-	d.objectiveWaiters = slices.Insert(d.objectiveWaiters, i, w)
-}
-
-func (d *dispatcher) removeObjective(w *waiter) bool {
-	i := slices.Index(d.objectiveWaiters, w)
-	if i < 0 {
-		return false
-	}
-	d.objectiveWaiters = slices.Delete(d.objectiveWaiters, i, i+1)
-	w.stopAwaiting()
-	return true
-}
-
 func (w *waiter) stopAwaiting() {
 	if w.awaitedTarget != nil {
 		w.awaitedTarget.awaitingWaiters--
@@ -156,39 +84,14 @@
 	}
 }
 
-// grantObjectives grants free slots to the queued requests with an objective and refuses those whose wait has ended.
-func (d *dispatcher) grantObjectives(now time.Time) {
-	if len(d.objectiveWaiters) == 0 || d.superseded {
-		return
-	}
-	kept := d.objectiveWaiters[:0]
-	for _, w := range d.objectiveWaiters {
-		switch t := d.selectTarget(w, now); {
-		case t != nil:
-			w.stopAwaiting()
-			d.grant(w, t, now)
-		case !now.Before(w.waitUntil):
-			w.stopAwaiting()
-			w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, d.retryHint(w, now)), now)
-		default:
-			kept = append(kept, w)
-		}
-	}
-	clear(d.objectiveWaiters[len(kept):])
-	d.objectiveWaiters = kept
-}
-
-// selectTarget returns the target that a request gets now, or nil. A request that waits for a target gets no other one meanwhile, unless
-// that has probably the object in its cache too.
-func (d *dispatcher) selectTarget(w *waiter, now time.Time) *target {
-	if !d.active || !d.followers[w.from.host].isFollowing(w.from) {
-		return nil
-	}
+// selectTarget returns the target that a request gets now, or nil; free reports whether any target would take it. A request that waits for a
+// target gets no other one meanwhile, unless it would be complete there earlier.
+func (d *dispatcher) selectTarget(w *waiter, now time.Time) (t *target, free bool) {
 	t, expected := d.bestTarget(w, now)
 	if t == nil || w.awaitedTarget == nil || t == w.awaitedTarget || !now.Before(w.awaitUntil) || now.Add(expected).Before(w.awaitedEnd) {
-		return t
+		return t, t != nil
 	}
-	return nil // the awaited target is faster, even with the wait for it
+	return nil, true
 }
 
 // bestTarget returns the free target at which a request is expected to complete first. A target that is due for a probe comes
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -23,10 +23,8 @@
 	probe bool
 	// trial is set if the request was let through as a trial of its route (see admitTimeLeft).
 	trial bool
-	// objective is set for a request with a latency objective. warm (the target probably has the object in its cache), cold
-	// (the target is filling its caches) and slowdown (as reported by the target) describe the target when the permit was
-	// granted.
-	objective  bool
+	// warm (the target probably has the object in its cache), cold (the target is filling its caches) and slowdown (as reported by the
+	// target) describe the target when the permit was granted.
 	warm, cold bool
 	slowdown   float64
 	// recencyRank is the number of other objects that the target had served since it last served the request's object.
@@ -192,6 +190,11 @@
 	return s.free(s.expiries[0].key)
 }
 
+// anyFree reports whether any target has a free slot, also one that may only be probed.
+func (s *slotTable) anyFree() bool {
+	return slices.ContainsFunc(s.order, func(t *target) bool { return t.freeSlots() > 0 })
+}
+
 // totals returns the free and the total slots of the targets that are neither closed nor unreachable.
 func (s *slotTable) totals() (free, total int) {
 	for _, t := range s.order {
--- a/pkg/permit/straggler.go
+++ b/pkg/permit/straggler.go
@@ -117,11 +117,8 @@
 	if t.health.quarantined || t.health.down {
 		return !d.canProbe(t, w, now)
 	}
-	if !w.req.Objective.IsZero() {
-		// A target that still answers other requests is not stuck, even if one request takes many times as long as normal.
-		return d.isStuck(t, now) && now.Sub(t.lastAnswer) > d.stuckAfter() && !d.manyStuck(now)
-	}
-	return w.class == classShort && d.isStuck(t, now) && !d.manyStuck(now)
+	// A target that still answers other requests is not stuck, even if one request takes many times as long as normal.
+	return w.class == classShort && d.isStuck(t, now) && now.Sub(t.lastAnswer) > d.stuckAfter() && !d.manyStuck(now)
 }
 
 // stuckAfter returns how long a target with requests in flight may answer none of them; 0 while the slow limit is unknown.
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -35,8 +35,8 @@
 type route struct {
 	samples []sample
 	// ended counts the requests. The next sample replaces the one at ended modulo window.
-	ended                 int
-	least, median, likely time.Duration
+	ended                       int
+	least, median, likely, mean time.Duration
 }
 
 // sample is the time that one request took, or the time after which it was cut off.
@@ -74,6 +74,15 @@
 	return 0
 }
 
+// Mean returns the mean time of the latest requests of a route, or 0 while it is unknown. Requests that were cut off count with the time that
+// they had: they occupied their slot for that long.
+func (e *Estimates) Mean(name string) time.Duration {
+	if r := e.routes[name]; r != nil {
+		return r.mean
+	}
+	return 0
+}
+
 // Observe adds a request that was complete after a time.
 func (e *Estimates) Observe(name string, took time.Duration) { e.add(name, sample{took: took}) }
 
@@ -112,6 +121,7 @@
 	longest := sorted[len(sorted)-1].took
 	beyond := longest + time.Duration(cutMargin*float64(longest))
 	r.least, r.median, r.likely = beyond, beyond, beyond
+	r.mean = meanOf(sorted)
 	running := 1.0 // the share of the requests that take longer
 	for i, s := range sorted {
 		if s.cut {
@@ -128,3 +138,11 @@
 		}
 	}
 }
+
+func meanOf(samples []sample) time.Duration {
+	sum := time.Duration(0)
+	for _, s := range samples {
+		sum += s.took
+	}
+	return sum / time.Duration(len(samples))
+}
--- a/pkg/worktime/worktime_test.go
+++ b/pkg/worktime/worktime_test.go
@@ -49,6 +49,7 @@
 	is.Equal(e.Least("r"), 300*time.Millisecond)
 	is.Equal(e.Median("r"), 300*time.Millisecond)
 	is.Equal(e.Likely("r"), 300*time.Millisecond)
+	is.Equal(e.Mean("r"), 200*time.Millisecond) // the time for which slots are occupied
 }
 
 // Guards against an estimate that keeps the times from before a change, or that grows without bound while all requests are cut off.
