Tell refused callers when a slot or a retry token is expected

Cause: the retry delay of a refusal depended on the latency objective (200 ms for a request that would miss it), and was always a second where the retry budget was used up.

Change: a request that found too little room hears when the requests waiting now are expected to have their slots, one without a retry token when first attempts will have earned one. The other delays keep their values and have a reason. A target that leaves quarantine starts without the slowdown that was observed before, its decay has a half-life of 1 s instead of 2 s, and targets of similar speed are chosen by load where no object is cached.

Figures: TestRefusedRetryHearsWhenATokenIsExpected: 50 ms at 20 tokens a second.

--- a/pkg/entry/failure.go
+++ b/pkg/entry/failure.go
@@ -47,6 +47,10 @@
 	err           error
 }
 
+// unreachableRetryAfter is the Retry-After of refusals because a host, or a path to the targets, cannot be used. Hosts notice within about that
+// time that another one is gone, and choose others.
+const unreachableRetryAfter = time.Second
+
 // maxQuarantine is the longest time for which the refusal of a poison request counts as temporary.
 const maxQuarantine = time.Minute
 
@@ -67,7 +71,7 @@
 func (rq *request) refusal() *reply.Refusal {
 	f := rq.lastFailure
 	if f == nil {
-		f = &failure{status: http.StatusServiceUnavailable, reason: reply.ReasonNoTarget, retryAfter: time.Second}
+		f = &failure{status: http.StatusServiceUnavailable, reason: reply.ReasonNoTarget, retryAfter: unreachableRetryAfter}
 	}
 	out := &reply.Refusal{Status: f.status, Reason: f.reason, RetryAfter: f.retryAfter, Outcome: reply.NotRun}
 	if rq.mayHaveRun {
@@ -89,14 +93,14 @@
 	if errors.As(err, &elsewhere) {
 		rq.redirectDomain = elsewhere.FailureDomain
 		return &failure{
-			status: http.StatusServiceUnavailable, reason: reply.ReasonNoCapacity, retryAfter: time.Second, notSent: true,
+			status: http.StatusServiceUnavailable, reason: reply.ReasonNoCapacity, retryAfter: unreachableRetryAfter, notSent: true,
 			retryScope: retryPlace,
 		}
 	}
 	var refused *permit.RefusedError
 	if !errors.As(err, &refused) {
 		return &failure{
-			status: http.StatusServiceUnavailable, reason: reply.ReasonNoCapacity, retryAfter: time.Second,
+			status: http.StatusServiceUnavailable, reason: reply.ReasonNoCapacity, retryAfter: unreachableRetryAfter,
 			notSent: true, retryScope: retryPlace, err: err,
 		}
 	}
@@ -126,7 +130,7 @@
 // noPathFailure returns the failure of a request for which this host reaches no target. Other failure domains may.
 func noPathFailure() *failure {
 	return &failure{
-		status: http.StatusServiceUnavailable, reason: reply.ReasonTargetUnreachable, retryAfter: time.Second,
+		status: http.StatusServiceUnavailable, reason: reply.ReasonTargetUnreachable, retryAfter: unreachableRetryAfter,
 		notSent: true, unreached: true, retryScope: retryOtherDomain,
 	}
 }
--- a/pkg/entry/redirect.go
+++ b/pkg/entry/redirect.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 )
@@ -54,7 +53,7 @@
 	place, ok := h.opts.FindRemote(domain, rq.rule.GetHomeRegions())
 	if !ok {
 		return nil, rq.recordFailure(&failure{
-			status: http.StatusServiceUnavailable, reason: reply.ReasonHostUnreachable, retryAfter: time.Second,
+			status: http.StatusServiceUnavailable, reason: reply.ReasonHostUnreachable, retryAfter: unreachableRetryAfter,
 			notSent: true, retryScope: retryLocal,
 		})
 	}
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -127,7 +127,7 @@
 		return f
 	}
 	f := &failure{
-		status: http.StatusServiceUnavailable, reason: reply.ReasonHostUnreachable, retryAfter: time.Second,
+		status: http.StatusServiceUnavailable, reason: reply.ReasonHostUnreachable, retryAfter: unreachableRetryAfter,
 		retryScope: retryPlace, err: steperr.Wrap(err, "forward request", to.Host),
 	}
 	if sent {
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -14,7 +14,8 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
-// notReadyRetryAfter is the Retry-After of refusals by a host that has not loaded a configuration yet.
+// notReadyRetryAfter is the Retry-After of refusals by a host that has not loaded a configuration yet. A host that starts has it after about
+// that time.
 const notReadyRetryAfter = time.Second
 
 // request is the state of one caller's request. It belongs to the goroutine that serves the request.
--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -22,7 +22,7 @@
 		w.result <- answer{redirectTo: domain}
 		return
 	}
-	d.earnRetryTokens(w)
+	d.earnRetryTokens(w, now)
 	d.lastSequence++
 	w.sequence = d.lastSequence
 	w.place, w.precedence, w.work = d.placeOf(w.from), d.precedence(w), d.expectedWork(w)
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -19,9 +19,10 @@
 	eventBuffer = 256
 	// holdWeight is the weight of a new observation in the exponential moving average of the slot hold time.
 	holdWeight = 1.0 / 32
-	// minRetryAfter is the shortest retry delay that a refusal suggests.
+	// minRetryAfter is the shortest retry delay that a refusal suggests. A caller that returns earlier finds the same requests waiting.
 	minRetryAfter = 10 * time.Millisecond
-	// noTargetRetryAfter is the suggested retry delay while no target accepts requests.
+	// noTargetRetryAfter is the suggested retry delay while no target accepts requests: it takes about that long until a target that is back,
+	// or another one, is known to all hosts.
 	noTargetRetryAfter = time.Second
 	// expiryGrace is added to a permit's deadline before its slot is reclaimed without a release. It lets the release of a
 	// request that ends exactly at the deadline arrive first.
@@ -64,8 +65,10 @@
 	routeTrials map[string]*trials
 	latency     latency
 	retryBudget tokenBucket
-	lossLog     *logging.Limiter
-	abandoned   abandonedRuns
+	// firstAttempts estimates how often the bucket is refilled.
+	firstAttempts arrivals
+	lossLog       *logging.Limiter
+	abandoned     abandonedRuns
 	// unreachableSince holds the targets that have not answered since they accepted no connection for the first time.
 	unreachableSince map[*target]time.Time
 	// slowSince is when the service as a whole became slow; zero if it is not slow.
--- a/pkg/permit/estimate.go
+++ b/pkg/permit/estimate.go
@@ -9,8 +9,6 @@
 const (
 	// coldFactor is how many times as long a request is assumed to take at a target that is still cold after its start.
 	coldFactor = 2
-	// estimateMargin is added to an expected time, as a fraction of it, so that most requests complete within the sum.
-	estimateMargin = 0.1
 )
 
 // expectedTime returns the time that a request is expected to take at a target, or 0 if it is unknown.
@@ -28,11 +26,6 @@
 	return d.model.LikelyCached(t.recentObjects, object)
 }
 
-// withMargin adds estimateMargin to an expected time.
-func withMargin(expected time.Duration) time.Duration {
-	return expected + time.Duration(estimateMargin*float64(expected))
-}
-
 // observeServiceTime updates the estimates after a request that was answered.
 func (d *dispatcher) observeServiceTime(p *permit, o Observation, now time.Time) {
 	t := p.target
--- a/pkg/permit/placement/speed.go
+++ b/pkg/permit/placement/speed.go
@@ -13,7 +13,7 @@
 	// residualHalfLife the time after which half of the residual has decayed, so that the target is tried again.
 	residualWeight   = 0.25
 	maxResidual      = 4
-	residualHalfLife = 2 * time.Second
+	residualHalfLife = time.Second
 )
 
 // Speed is the estimate of how fast a target works.
@@ -62,5 +62,8 @@
 	s.residualAt = now
 }
 
+// ForgetObserved drops the residual slowdown, because the target has shown that it is as fast as others.
+func (s *Speed) ForgetObserved() { s.residual = 0 }
+
 // ObserveFailure counts a request that the target failed or shed as a slow one, so that the target gets fewer requests.
 func (s *Speed) ObserveFailure(now time.Time) { s.Observe(maxResidual, now) }
--- a/pkg/permit/reachability.go
+++ b/pkg/permit/reachability.go
@@ -52,6 +52,7 @@
 	h.goodProbes++
 	if h.goodProbes >= probesToReinstate {
 		h.quarantined, h.slowHistory = false, 0
+		t.speed.ForgetObserved() // the slow times from before the probes
 		log.Info().Str("step", "target").Str("service", d.service).Str("target", t.name).Msg("target is out of quarantine")
 	}
 }
--- a/pkg/permit/retry_test.go
+++ b/pkg/permit/retry_test.go
@@ -48,7 +48,7 @@
 	d := newTestDispatcher(1, firstTerm+1)
 	is.Equal(d.retriesAdmitted(), 0)
 	for range 10 {
-		d.earnRetryTokens(&waiter{})
+		d.earnRetryTokens(&waiter{}, time.Now())
 	}
 	is.Equal(d.retriesAdmitted(), 2)
 }
@@ -85,3 +85,17 @@
 	is.Equal(d.retriesAdmitted(), 40)
 	is.True(d.admitAttempt(&waiter{req: Request{Attempt: 2, Unreached: 1}}, time.Now()) != nil)
 }
+
+// Guards against callers that are told to return long before or after the next retry is possible.
+func TestRefusedRetryHearsWhenATokenIsExpected(t *testing.T) {
+	is := is.New(t)
+	d := newTestDispatcher(1, firstTerm+1)
+	now := time.Now()
+	is.Equal(d.admitAttempt(&waiter{req: Request{Attempt: 1}}, now).RetryAfter, maxTokenDelay) // nothing is known
+	for i := range 1002 {                                                                      // 100 a second, a fifth of a token each
+		d.earnRetryTokens(&waiter{}, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	d.retriesAdmitted()
+	after := d.admitAttempt(&waiter{req: Request{Attempt: 1}}, now).RetryAfter
+	is.True(after > 45*time.Millisecond && after <= 50*time.Millisecond)
+}
--- a/pkg/permit/select.go
+++ b/pkg/permit/select.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// equalTimeTolerance is the relative difference up to which two expected times count as equal.
-	equalTimeTolerance = 0.03
-	// preferredTargetFactor limits the choice by rendezvous weight. Of two targets that have not cached an object, the one with
-	// the higher weight is chosen if neither is expected to take more than this many times as long as the other.
-	preferredTargetFactor = 1.4
+	// equalTimeFactor is the ratio up to which two expected times count as equal.
+	equalTimeFactor = 1.03
+	// similarTimeFactor is that ratio for two targets that have not cached the object, or if there is none. Estimates differ by chance, so that
+	// smaller differences would keep requests off targets that are as fast as the others, and spread objects over many targets.
+	similarTimeFactor = 1.4
 )
 
 // planWait sets until when a request waits at most, and for which target. The target at which it is expected to complete first may have no
@@ -96,8 +96,8 @@
 
 // bestTarget returns the free target at which a request is expected to complete first. A target that is due for a probe comes
 // before all others. If the expected times count as equal, a target in the place of the requesting host is chosen, and otherwise the less
-// loaded one. For an object that no target has cached, the same place and then rendezvous hashing decide among targets of similar speed,
-// so that objects spread over the targets and keep their target.
+// loaded one. For an object that neither has cached, rendezvous hashing decides instead of the load, so that objects spread over the targets
+// and keep their target.
 func (d *dispatcher) bestTarget(w *waiter, now time.Time) (best *target, expected time.Duration) {
 	restrictions := d.isolationOf(w, now)
 	for _, t := range d.slots.order {
@@ -118,21 +118,19 @@
 
 // isBetter reports whether t is preferable to best, given the times that a request is expected to take at both.
 func (d *dispatcher) isBetter(w *waiter, t, best *target, expected, bestExpected time.Duration) bool {
-	if w.req.ObjectHash != 0 && !d.likelyCached(t, w.req.ObjectHash) && !d.likelyCached(best, w.req.ObjectHash) {
-		if limit := time.Duration(preferredTargetFactor * float64(min(expected, bestExpected))); max(expected, bestExpected) <= limit {
-			if near := w.isNear(t); near != w.isNear(best) {
-				return near
-			}
-			return t.rendezvousWeight(w.req.ObjectHash) > best.rendezvousWeight(w.req.ObjectHash)
-		}
+	tolerance := equalTimeFactor
+	if !d.likelyCached(t, w.req.ObjectHash) && !d.likelyCached(best, w.req.ObjectHash) {
+		tolerance = similarTimeFactor
 	}
-	margin := time.Duration(equalTimeTolerance * float64(bestExpected))
-	if expected < bestExpected-margin || expected > bestExpected+margin {
+	if limit := time.Duration(tolerance * float64(min(expected, bestExpected))); max(expected, bestExpected) > limit {
 		return expected < bestExpected
 	}
 	if near := w.isNear(t); near != w.isNear(best) {
 		return near
 	}
+	if w.req.ObjectHash != 0 && tolerance == similarTimeFactor {
+		return t.rendezvousWeight(w.req.ObjectHash) > best.rendezvousWeight(w.req.ObjectHash)
+	}
 	return t.lessLoadedThan(best, w.class)
 }
 
