Let a request wait that has a good chance to be in time afterwards

Cause: a wait had to leave the time within which nine of ten requests of the route complete.

Change: after the expected wait, nine of ten of those requests must be in time that would be without it. A waiting request also ends when the estimate of its route, which may be newer than its arrival, shows that it is too late.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -59,10 +59,10 @@
 }
 
 // admitWait returns the refusal of a request that has to wait too long, or that would make one wait too long that waits already; nil if it
-// may be queued. The wait must leave the time within which requests of its route very likely complete. Without that margin, a long queue would
-// spend the slots on answers that come just too late.
+// may be queued. Without the margin of inTimeAfterWait, a long queue would spend the slots on answers that come just too late.
 func (d *dispatcher) admitWait(w *waiter, now time.Time) *RefusedError {
-	limit := w.deadline.Sub(now) - d.work.Likely(w.req.Route)
+	left := w.deadline.Sub(now)
+	limit := left - d.work.Within(w.req.Route, left, inTimeAfterWait)
 	if w.req.QueueTimeout > 0 {
 		limit = min(limit, w.req.QueueTimeout)
 	}
@@ -123,7 +123,7 @@
 func (d *dispatcher) refuseOverdue(now time.Time) {
 	var refused []*waiter
 	d.queue.removeFunc(func(w *waiter) bool {
-		overdue := !now.Before(w.waitUntil)
+		overdue := !now.Before(w.waitUntil) || !now.Before(d.latestStart(w))
 		if overdue {
 			refused = append(refused, w)
 		}
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -9,12 +9,9 @@
 )
 
 const (
-	// leastQuantile is the share of the requests that complete within Least: a request with less time almost certainly fails.
-	leastQuantile  = 0.1
-	medianQuantile = 0.5
-	// likelyQuantile is the share of the requests that complete within Likely. The rest would spend slot time on answers that come too
-	// late, if each request waited until only that time is left.
-	likelyQuantile = 0.9
+	// leastShare is the share of the requests that complete within Least: a request with less time almost certainly fails.
+	leastShare  = 0.1
+	medianShare = 0.5
 	// window is the number of requests that an estimate is based on, refreshEvery the number of requests after which it is computed again.
 	// The first refresh also sets how many requests make an estimate.
 	window       = 64
@@ -22,6 +19,8 @@
 	// cutMargin is added to the longest known time, as a fraction of it, where a quantile lies among requests that were cut off: they need
 	// more than they had, and the next request must not count as fitting because it has a little more.
 	cutMargin = 0.02
+	// roundingError is larger than the error of a share that is computed in up to window steps.
+	roundingError = 1e-9
 )
 
 // Estimates holds the estimates of the routes of one service. It is not safe for concurrent use.
@@ -31,12 +30,20 @@
 	routes    map[string]*route
 }
 
-// route holds the latest samples of one route, and the quantiles as of the last refresh.
+// route holds the latest samples of one route, and what follows from them as of the last refresh.
 type route struct {
 	samples []sample
 	// ended counts the requests. The next sample replaces the one at ended modulo window.
-	ended                       int
-	least, median, likely, mean time.Duration
+	ended int
+	// steps is the distribution of the times, beyond a time that is longer than all that are known.
+	steps        []step
+	beyond, mean time.Duration
+}
+
+// step says which share of the requests completes within a time.
+type step struct {
+	within time.Duration
+	share  float64
 }
 
 // sample is the time that one request took, or the time after which it was cut off.
@@ -51,27 +58,15 @@
 }
 
 // Least returns the time within which one of ten requests of a route completes, or 0 while it is unknown.
-func (e *Estimates) Least(name string) time.Duration {
-	if r := e.routes[name]; r != nil {
-		return r.least
-	}
-	return 0
-}
+func (e *Estimates) Least(name string) time.Duration { return e.routes[name].quantile(leastShare) }
 
 // Median returns the time within which half of the requests of a route complete, or 0 while it is unknown.
-func (e *Estimates) Median(name string) time.Duration {
-	if r := e.routes[name]; r != nil {
-		return r.median
-	}
-	return 0
-}
+func (e *Estimates) Median(name string) time.Duration { return e.routes[name].quantile(medianShare) }
 
-// Likely returns the time within which nine of ten requests of a route complete, or 0 while it is unknown.
-func (e *Estimates) Likely(name string) time.Duration {
-	if r := e.routes[name]; r != nil {
-		return r.likely
-	}
-	return 0
+// Within returns the time within which a part of those requests of a route complete that complete within a limit, or 0 while it is unknown.
+func (e *Estimates) Within(name string, limit time.Duration, part float64) time.Duration {
+	r := e.routes[name]
+	return r.quantile(part * r.share(limit))
 }
 
 // Mean returns the mean time of the latest requests of a route, or 0 while it is unknown. Requests that were cut off count with the time that
@@ -114,29 +109,49 @@
 	}
 }
 
-// refresh computes the quantiles by the Kaplan-Meier estimator: a request that was cut off counts among those that take longer than each
+// refresh computes the distribution by the Kaplan-Meier estimator: a request that was cut off counts among those that take longer than each
 // time before that, and not at all afterwards.
 func (r *route) refresh() {
 	sorted := slices.SortedFunc(slices.Values(r.samples), func(a, b sample) int { return cmp.Compare(a.took, b.took) })
 	longest := sorted[len(sorted)-1].took
-	beyond := longest + time.Duration(cutMargin*float64(longest))
-	r.least, r.median, r.likely = beyond, beyond, beyond
+	r.beyond = longest + time.Duration(cutMargin*float64(longest))
 	r.mean = meanOf(sorted)
+	r.steps = r.steps[:0]
 	running := 1.0 // the share of the requests that take longer
 	for i, s := range sorted {
 		if s.cut {
 			continue
 		}
 		running -= running / float64(len(sorted)-i)
-		for _, q := range []struct {
-			value *time.Duration
-			share float64
-		}{{&r.least, leastQuantile}, {&r.median, medianQuantile}, {&r.likely, likelyQuantile}} {
-			if *q.value == beyond && 1-running >= q.share {
-				*q.value = s.took
-			}
-		}
+		r.steps = append(r.steps, step{within: s.took, share: 1 - running})
+	}
+}
+
+// quantile returns the time within which a share of the requests completes, or 0 while it is unknown.
+func (r *route) quantile(share float64) time.Duration {
+	if r == nil {
+		return 0
+	}
+	i, _ := slices.BinarySearchFunc(r.steps, share-roundingError, func(s step, share float64) int { return cmp.Compare(s.share, share) })
+	if i == len(r.steps) {
+		return r.beyond
+	}
+	return r.steps[i].within
+}
+
+// share returns the share of the requests that completes within a time.
+func (r *route) share(limit time.Duration) float64 {
+	if r == nil {
+		return 0
+	}
+	i, found := slices.BinarySearchFunc(r.steps, limit, func(s step, limit time.Duration) int { return cmp.Compare(s.within, limit) })
+	for found && i < len(r.steps) && r.steps[i].within == limit {
+		i++
+	}
+	if i == 0 {
+		return 0
 	}
+	return r.steps[i-1].share
 }
 
 func meanOf(samples []sample) time.Duration {
--- a/pkg/worktime/worktime_test.go
+++ b/pkg/worktime/worktime_test.go
@@ -17,9 +17,9 @@
 		for range 400 {
 			e.Observe("r", 200*time.Millisecond+time.Duration(rng.IntN(200))*time.Millisecond)
 		}
-		is.True(e.Least("r") > 200*time.Millisecond && e.Least("r") < 260*time.Millisecond)   // 220 ms
-		is.True(e.Median("r") > 260*time.Millisecond && e.Median("r") < 340*time.Millisecond) // 300 ms
-		is.True(e.Likely("r") > 340*time.Millisecond && e.Likely("r") < 400*time.Millisecond) // 380 ms
+		is.True(e.Least("r") > 200*time.Millisecond && e.Least("r") < 260*time.Millisecond)                                   // 220 ms
+		is.True(e.Median("r") > 260*time.Millisecond && e.Median("r") < 340*time.Millisecond)                                 // 300 ms
+		is.True(e.Within("r", time.Hour, 0.9) > 340*time.Millisecond && e.Within("r", time.Hour, 0.9) < 400*time.Millisecond) // 380 ms
 	}
 }
 
@@ -35,7 +35,7 @@
 	}
 	is.True(e.Least("r") > given)
 	is.True(e.Median("r") > given)
-	is.True(e.Likely("r") > given)
+	is.True(e.Within("r", time.Hour, 0.9) > given)
 }
 
 // Guards against an estimate that callers with little time spoil for the others: their requests say only that they take longer than that.
@@ -48,7 +48,7 @@
 	}
 	is.Equal(e.Least("r"), 300*time.Millisecond)
 	is.Equal(e.Median("r"), 300*time.Millisecond)
-	is.Equal(e.Likely("r"), 300*time.Millisecond)
+	is.Equal(e.Within("r", time.Hour, 0.9), 300*time.Millisecond)
 	is.Equal(e.Mean("r"), 200*time.Millisecond) // the time for which slots are occupied
 }
 
@@ -63,11 +63,29 @@
 	for range window {
 		e.Observe("r", 300*time.Millisecond)
 	}
-	is.Equal(e.Likely("r"), 300*time.Millisecond)
+	is.Equal(e.Within("r", time.Hour, 0.9), 300*time.Millisecond)
 	e.Forget("r")
 	is.Equal(e.Median("r"), time.Duration(0))
 }
 
+// Guards against a margin that a route needs for its slowest requests, which are not complete in time without a wait either.
+func TestWithinCountsOnlyWhatIsInTimeAnyway(t *testing.T) {
+	is := is.New(t)
+	e := New(4)
+	for i := range window {
+		if i%4 == 0 {
+			e.ObserveCut("r", 800*time.Millisecond)
+		} else {
+			e.Observe("r", time.Duration(300+i)*time.Millisecond)
+		}
+	}
+	is.Equal(e.Within("r", 800*time.Millisecond, 1), 363*time.Millisecond)
+	is.True(e.Within("r", 800*time.Millisecond, 0.9) < 360*time.Millisecond)
+	is.True(e.Within("r", 800*time.Millisecond, 0.9) > 350*time.Millisecond)
+	is.True(e.Within("r", 320*time.Millisecond, 0.9) < 320*time.Millisecond)
+	is.Equal(e.Within("unknown", time.Second, 0.9), time.Duration(0))
+}
+
 // Guards against memory that grows with the number of routes, and against an estimate from very few samples.
 func TestUnknownRoutesHaveNoEstimate(t *testing.T) {
 	is := is.New(t)
