Wait for link budget by the work that is left

Cause: a request waited a quarter of its time left for budget of a link, whatever its work takes: a request with little time beyond its work was sent too late to be complete.

Change: it waits a third of the time beyond its work, as for a permit.

--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -15,9 +15,6 @@
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 )
 
-// paceTimeoutDivisor sets how long a request waits for budget on a link: the time until its deadline divided by it.
-const paceTimeoutDivisor = 4
-
 // tryRemote forwards the request to a host of another failure domain. Before that the request must pass the admission control of
 // the place, and the rate limit of the link if it goes to another region.
 func (h *Handler) tryRemote(rq *request, place Place) (*answer, retryScope) {
@@ -46,10 +43,10 @@
 	return ans, retryNone
 }
 
-// paceRequest waits for budget on the link to another region, for a part of the remaining time at most: a request that is sent
-// later would probably end without an answer.
+// paceRequest waits for budget on the link to another region, for a part of the spare time at most: the request may have to wait for a permit
+// there too, and one that is sent later would probably end without an answer.
 func (h *Handler) paceRequest(rq *request, toHost string) error {
-	ctx, cancel := context.WithTimeout(rq.ctx, time.Until(rq.deadline)/paceTimeoutDivisor)
+	ctx, cancel := context.WithTimeout(rq.ctx, h.work.spareTime(rq)/spareParts)
 	defer cancel()
 	return h.opts.Pacer.Pace(ctx, toHost, rq.estimatedBytes())
 }
--- a/pkg/entry/remote_test.go
+++ b/pkg/entry/remote_test.go
@@ -135,6 +135,11 @@
 		is.True(got.header.Get("Retry-After") != "")
 		is.True(time.Since(start) <= time.Second)
 		is.Equal(len(second.permits.requests), 0)
+
+		first.handler.work.byRoute[workKey{"lookup", ""}] = 3500 * time.Millisecond
+		start = time.Now()
+		is.Equal(first.do("GET", "/lookup/a", "", "Request-Timeout", "4").status, 503)
+		is.True(time.Since(start) <= 500*time.Millisecond) // work that takes most of the time leaves less for the wait
 	})
 }
 
--- a/pkg/entry/spare.go
+++ b/pkg/entry/spare.go
@@ -8,7 +8,8 @@
 
 // The spare time of a request is the time until its deadline beyond the work that it needs. A request that matches a rule uses a third of it
 // for the wait that its dispatcher expects, and another third in case that the wait turns out longer. The rest is left for another failure
-// domain, in case that the dispatcher does not answer: replacing a failed one takes seconds.
+// domain, in case that the dispatcher does not answer: replacing a failed one takes seconds. A wait for budget on a link to another region
+// takes a third at most, too.
 
 const (
 	// spareParts is the number of parts of the spare time, waitParts how many of them a request waits for its dispatcher's answer.
@@ -44,11 +45,16 @@
 	e.byRoute[workKey{rq.name, rq.statisticsRoute()}] = expected
 }
 
-// spareTime returns the spare time that is left now. A route of which nothing is known counts as one without work.
+// spareTime returns the spare time that is left now. A route of which nothing is known counts as one that needs half of the time left.
 func (e *workEstimates) spareTime(rq *request) time.Duration {
+	left := time.Until(rq.deadline)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return max(0, time.Until(rq.deadline)-e.byRoute[workKey{rq.name, rq.statisticsRoute()}])
+	work, known := e.byRoute[workKey{rq.name, rq.statisticsRoute()}]
+	e.mu.Unlock()
+	if !known {
+		work = left / 2
+	}
+	return max(0, left-work)
 }
 
 // queueTimeout returns the longest expected wait for a permit, or 0 if the request may wait until its deadline.
