Take the latency objective out of the requests for permits

Cause: after the changes before, dispatchers got a request's objective and other hosts got it in a header, and neither used it.

Change: both are gone. Dispatchers of earlier versions are told that there is none.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -106,8 +106,6 @@
 	// homes is not empty, the region of the place is one of homes. ok is false if there is no such place; a nil function means
 	// that there never is one.
 	FindRemote func(failureDomain string, homes []string) (place Place, ok bool)
-	// RTT returns the round-trip time to a host, or 0 if it is unknown. Nil means that all are unknown.
-	RTT func(to peer.Address) time.Duration
 	// Dialect reads and writes the request metadata of callers and targets; nil means dialect.Native.
 	Dialect  dialect.Dialect
 	Recorder Recorder
@@ -146,9 +144,6 @@
 	if opts.Paths == nil {
 		opts.Paths = directPaths{}
 	}
-	if opts.RTT == nil {
-		opts.RTT = func(peer.Address) time.Duration { return 0 }
-	}
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -27,8 +26,6 @@
 	headerIncarnation = "Rattanhitch-Incarnation"
 	headerShifted     = "Rattanhitch-Shifted"
 	headerMode        = "Rattanhitch-Mode"
-	// headerObjective is the time, in milliseconds from the arrival of the request, after which the response counts as late.
-	headerObjective = "Rattanhitch-Objective"
 	// headerRule and headerRoute are the rule and the route that the first host applies to the request, as protobuf messages in
 	// base64. An empty route means that the request matches none.
 	headerRule  = "Rattanhitch-Rule"
@@ -110,8 +107,6 @@
 	service     string
 	shifted     bool
 	mode        mode
-	// objective is the time after which the response counts as late; zero without an objective.
-	objective time.Time
 	// attempts is the number of targets to which the forwarding host has sent the request.
 	attempts int
 	// rule and route are those that the forwarding host applies; nil if it applies none, or is too old to send them.
@@ -126,13 +121,6 @@
 		incarnation: r.Header.Get(headerIncarnation), service: r.Header.Get(headerService),
 		shifted: r.Header.Get(headerShifted) != "", mode: mode(r.Header.Get(headerMode)),
 	}
-	if text := r.Header.Get(headerObjective); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 32)
-		if err != nil {
-			return nil, errors.Newf("forwarded request with objective %q", text)
-		}
-		o.objective = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	}
 	if text := r.Header.Get(headerAttempts); text != "" {
 		attempts, err := strconv.ParseUint(text, 10, 16)
 		if err != nil {
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -76,8 +76,8 @@
 	if rq.configVersion > 0 {
 		line = line.Uint64("config", rq.configVersion)
 	}
-	if o := rq.objective(); !o.IsZero() {
-		line = line.Int64("objective_ms", o.Sub(rq.start).Milliseconds())
+	if ms := rq.rule.GetLatencyMs(); ms > 0 {
+		line = line.Uint32("objective_ms", ms)
 	}
 	if made := rq.history.decision; made.Dispatcher != "" {
 		line = line.Str("dispatcher", made.Dispatcher).Int("free", made.FreeSlots).Int("slots", made.TotalSlots).
--- a/pkg/entry/obtain.go
+++ b/pkg/entry/obtain.go
@@ -121,7 +121,7 @@
 		Fingerprint: rq.fingerprint, Command: rq.command, Forwarded: rq.forwarded, Shifted: rq.shifted,
 		Attempt: rq.attempts, Unreached: rq.unreached, ExcludeTargets: rq.excludedTargets,
 		ObjectHash: rq.ruleAffinity(), Priority: rq.rule.GetPriority(),
-		Objective: rq.objective(), QueueTimeout: h.queueTimeout(rq), HomeRegions: rq.rule.GetHomeRegions(),
+		QueueTimeout: h.queueTimeout(rq), HomeRegions: rq.rule.GetHomeRegions(),
 		FollowsRedirects: rq.followsRedirects,
 	}
 }
@@ -140,22 +140,6 @@
 	return rq.affinityHash
 }
 
-// objective returns the time after which the response counts as late, or the zero time if the rule has no latency objective.
-func (rq *request) objective() time.Time {
-	if rq.rule.GetLatencyMs() == 0 {
-		return time.Time{}
-	}
-	if rq.forwarded {
-		return rq.forwardedObjective
-	}
-	return rq.start.Add(rq.latency())
-}
-
-// latency returns the latency objective of the rule as a duration from the arrival of the request; 0 if there is none.
-func (rq *request) latency() time.Duration {
-	return time.Duration(rq.rule.GetLatencyMs()) * time.Millisecond
-}
-
 // maxAttempts returns the maximum number of attempts of this request: the limit of its rule, up to the constant maxAttempts.
 func (rq *request) maxAttempts() int {
 	if n := int(rq.rule.GetAttempts()); n > 0 {
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,10 +91,6 @@
 			err: steperr.Wrap(err, "forward request", to.Host),
 		}
 	}
-	if objective := rq.objective(); !objective.IsZero() {
-		remaining := time.Until(objective) - h.opts.RTT(to)
-		out.Header.Set(headerObjective, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
-	}
 	if shifted {
 		out.Header.Set(headerShifted, "1")
 	}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -47,8 +47,6 @@
 	// comes from another region.
 	forwarded bool
 	shifted   bool
-	// forwardedObjective is the time after which the response to a forwarded request counts as late; zero without an objective.
-	forwardedObjective time.Time
 	// followsRedirects is set while the dispatcher may redirect the request to another failure domain, and redirectDomain is the
 	// domain that it chose.
 	followsRedirects bool
@@ -80,7 +78,7 @@
 	rq.idempotencyKey = r.Header.Get(reply.HeaderKey)
 	if from != nil {
 		rq.id, rq.fromHost, rq.mode = from.requestID, from.host, from.mode
-		rq.forwarded, rq.shifted, rq.forwardedObjective = true, from.shifted, from.objective
+		rq.forwarded, rq.shifted = true, from.shifted
 		rq.attempts, rq.targetAttempts = from.attempts, from.attempts
 	} else {
 		rq.id = h.nextID()
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -147,7 +147,6 @@
 		Permits:    waitTracker,
 		Steerer:    steerer,
 		FindRemote: steerer.Find,
-		RTT:        node.Node.RoundTripTime,
 		Forwarder:  node.Node,
 		Commands:   commands.Executor,
 		Dial:       m.tunnels.DialContext,
--- a/pkg/permit/calls.go
+++ b/pkg/permit/calls.go
@@ -148,30 +148,14 @@
 		TimeoutMs: ceilMilliseconds(time.Until(req.Deadline)), Fingerprint: req.Fingerprint, Command: req.Command,
 		Forwarded: req.Forwarded, Shifted: req.Shifted, Hedge: req.Hedge, Attempt: uint32(req.Attempt), Unreached: uint32(req.Unreached),
 		ExcludeTargets: req.ExcludeTargets, Newest: newest.proto(), ObjectHash: req.ObjectHash, Priority: req.Priority,
-		ObjectiveMs: encodeObjective(req.Objective), HomeRegions: req.HomeRegions, FollowsRedirects: req.FollowsRedirects,
+		ObjectiveMs: noObjective, HomeRegions: req.HomeRegions, FollowsRedirects: req.FollowsRedirects,
 		QueueTimeoutMs: ceilMilliseconds(req.QueueTimeout),
 	}
 }
 
-// noObjective is the encoding of a request without a latency objective.
+// noObjective tells dispatchers of earlier versions, which refused requests by a latency objective, that the request has none.
 const noObjective = -1
 
-// encodeObjective returns the time that is left until the objective, in milliseconds, or noObjective.
-func encodeObjective(objective time.Time) int32 {
-	if objective.IsZero() {
-		return noObjective
-	}
-	return int32(max(0, time.Until(objective).Milliseconds()))
-}
-
-// decodeObjective is the inverse of encodeObjective at time now.
-func decodeObjective(left int32, now time.Time) time.Time {
-	if left == noObjective {
-		return time.Time{}
-	}
-	return now.Add(time.Duration(left) * time.Millisecond)
-}
-
 // cancelAcquire cancels an acquire call at its dispatcher, because no caller waits for it any more.
 func (m *Manager) cancelAcquire(req Request, host membership.Member) {
 	ctx, cancelCall := context.WithTimeout(m.ctx, releaseTimeout)
--- a/pkg/permit/handlers.go
+++ b/pkg/permit/handlers.go
@@ -42,8 +42,7 @@
 		Fingerprint: msg.GetFingerprint(), Command: msg.GetCommand(), Forwarded: msg.GetForwarded(),
 		Shifted: msg.GetShifted(), Hedge: msg.GetHedge(), Attempt: int(msg.GetAttempt()), Unreached: int(msg.GetUnreached()),
 		ExcludeTargets: msg.GetExcludeTargets(), ObjectHash: msg.GetObjectHash(), Priority: msg.GetPriority(),
-		Objective: decodeObjective(msg.GetObjectiveMs(), time.Now()), HomeRegions: msg.GetHomeRegions(),
-		FollowsRedirects: msg.GetFollowsRedirects(), QueueTimeout: time.Duration(msg.GetQueueTimeoutMs()) * time.Millisecond,
+		HomeRegions: msg.GetHomeRegions(), FollowsRedirects: msg.GetFollowsRedirects(), QueueTimeout: time.Duration(msg.GetQueueTimeoutMs()) * time.Millisecond,
 	}
 }
 
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -42,8 +42,6 @@
 	ObjectHash uint64
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority uint32
-	// Objective is the time by which the response must arrive to meet the latency objective; zero if the request has none.
-	Objective time.Time
 	// QueueTimeout is the longest expected wait for a slot with which the request is queued; 0 means as long as its deadline allows. The
 	// actual wait may be up to twice as long.
 	QueueTimeout time.Duration
