--- a/pkg/entry/obtain.go
+++ b/pkg/entry/obtain.go
@@ -15,7 +15,7 @@
 )
 
 // crashRetryDelay is how long a request whose target ended waits before it is sent to another one. If copies of it make targets end in
-// other failure domains too, that is known here by then.
+// other failure domains too, that is known here by then: records spread within a round trip between regions, up to 70 ms.
 const crashRetryDelay = 80 * time.Millisecond
 
 // maxAttempts limits the attempts of one request at one host. The dispatcher's retry budget is usually the lower limit.
--- a/pkg/permit/balance/balance.go
+++ b/pkg/permit/balance/balance.go
@@ -22,10 +22,11 @@
 	arrivalRateWeight = 0.1
 	// unlimitedShiftPeriod is how long a dispatcher changes its shares without a rate limit after its start or a loss of slots.
 	// A new dispatcher does not know the shares of its predecessor, and it receives the summaries of the other failure domains
-	// one by one, at one summary per second.
+	// one by one, at one summary per second. After two of them from each it knows all loads.
 	unlimitedShiftPeriod = 2 * time.Second
 	// minRetainedFraction is the fraction of its peak slots that a failure domain must keep for the rate limit to apply. The
-	// requests of a zone that is lost or evacuated must be served elsewhere at once; they would be refused otherwise.
+	// requests of a zone that is lost or evacuated must be served elsewhere at once; they would be refused otherwise. The spare slots
+	// of spareFactor, a fifth of 32 slots, make up for a smaller loss.
 	minRetainedFraction = 0.75
 	// maxDeficit is the deficit or surplus, in requests, beyond which a request goes to another failure domain than its hash
 	// selects.
--- a/pkg/permit/cold.go
+++ b/pkg/permit/cold.go
@@ -13,8 +13,8 @@
 // bucket, because its predecessor may just have spent the tokens.
 const coldBurst = 2
 
-// returnColdTime is how long a target that accepted no connection counts as cold once it answers again. It may have restarted, and the
-// configuration says so a moment later.
+// returnColdTime is how long a target that accepted no connection counts as cold once it answers again. It may have restarted, which the
+// configuration says within about that time.
 const returnColdTime = 1500 * time.Millisecond
 
 // applyConfig applies the configuration of a target. c is the same object while the configuration of the target is unchanged, so
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -47,6 +47,8 @@
 	Scope tally.Scope
 }
 
+// The defaults let a tenth of the requests move within two seconds: the caches of targets adapt to new objects within seconds, so that requests
+// that move faster would mostly miss them.
 const (
 	defaultShiftShare  = 0.1
 	defaultShiftWindow = 2 * time.Second
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -10,7 +10,9 @@
 // DomainLoad is the reported load of a service in another failure domain.
 type DomainLoad = balance.Load
 
-// chooseDomain returns the failure domain to which a request is redirected, or an empty string if it is served in this one.
+// chooseDomain returns the failure domain to which a request is redirected, or an empty string if it is served in this one. A host's second
+// attempt for a request stays: the first one was counted, and another way through two hosts would cost it more time than a local target. What a
+// caller sends again counts as a first attempt.
 func (d *dispatcher) chooseDomain(w *waiter, now time.Time) string {
 	if !d.balancingEnabled() || w.req.Forwarded || w.req.Attempt > 0 {
 		return ""
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -10,7 +10,7 @@
 
 const (
 	// quarantine is how long a request is refused after two crashes. Two targets may have ended for another reason, so the
-	// request gets another try before it is refused for longer.
+	// request gets another try before it is refused for longer. Targets that ended are usually back by then.
 	quarantine = 10 * time.Second
 	// poisonTTL is how long a request is refused after three crashes, and how long crashes and answers are remembered.
 	poisonTTL = 10 * time.Minute
