Serve requests first whose object the free target has cached

Cause: under overload the queue served requests in their order alone.

Change: of waiting requests of the same rank, those come first whose object the free target has cached, as long as the others can still start by the time that was expected for them. A target where a request has no chance to be complete in the time left, at the speed of that target, is not chosen.

--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -6,16 +6,33 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
-// grantWaiting grants free slots to the waiting requests in their order. A request that gets none now does not block those behind it: it may
-// exclude all free targets, wait for a certain one, be poison, or come from a host that does not follow this dispatcher yet.
+// grantWaiting grants free slots to the waiting requests. Of requests of the same rank, those come first whose object the target has cached, as
+// long as the others can still start in time: they take a part of the time, so that more callers are served. The others follow in their order.
 func (d *dispatcher) grantWaiting(now time.Time) {
-	if d.superseded || !d.active || len(d.queue) == 0 || !d.slots.anyFree() {
+	if d.superseded || !d.active {
 		return
 	}
+	d.grantMatching(now, func(w *waiter, t *target) bool { return d.suits(w, t, now) })
+	d.grantMatching(now, func(*waiter, *target) bool { return true })
+}
+
+// suits reports whether a request need not wait for another target: the target has its object cached, it has none, or it cannot wait any longer.
+func (d *dispatcher) suits(w *waiter, t *target, now time.Time) bool {
+	return w.req.ObjectHash == 0 || d.likelyCached(t, w.req.ObjectHash) || !now.Before(w.startBy)
+}
+
+// grantMatching grants free slots to waiting requests for which matches returns true, in their order. None of them passes one of a higher rank
+// for which it returned false. A request that gets no slot for another reason does not block those behind it: it may exclude all free targets,
+// wait for a certain one, be poison, or come from a host that does not follow this dispatcher yet.
+func (d *dispatcher) grantMatching(now time.Time, matches func(*waiter, *target) bool) {
+	if len(d.queue) == 0 || !d.slots.anyFree() {
+		return
+	}
+	var passed *waiter
 	full := map[configv1.RequestClass]bool{}
 	d.queue.removeFunc(func(w *waiter) bool {
 		plain := len(w.req.ExcludeTargets) == 0 && !d.manager.poison.IsSuspect(w.req.Fingerprint, now)
-		if full[w.class] && plain || !d.followers[w.from.host].isFollowing(w.from) {
+		if full[w.class] && plain || passed != nil && !passed.hasRankOf(w) || !d.followers[w.from.host].isFollowing(w.from) {
 			return false
 		}
 		t, free := d.selectTarget(w, now)
@@ -23,6 +40,10 @@
 		if t == nil {
 			return false
 		}
+		if !matches(w, t) {
+			passed = w
+			return false
+		}
 		d.grant(w, t, now)
 		return true
 	})
--- a/pkg/permit/select.go
+++ b/pkg/permit/select.go
@@ -88,12 +88,25 @@
 // target gets no other one meanwhile, unless it would be complete there earlier.
 func (d *dispatcher) selectTarget(w *waiter, now time.Time) (t *target, free bool) {
 	t, expected := d.bestTarget(w, now)
+	if t != nil && !d.canCompleteIn(w, expected, w.deadline.Sub(now)) {
+		return nil, true
+	}
 	if t == nil || w.awaitedTarget == nil || t == w.awaitedTarget || !now.Before(w.awaitUntil) || now.Add(expected).Before(w.awaitedEnd) {
 		return t, t != nil
 	}
 	return nil, true
 }
 
+// canCompleteIn reports whether a request has a chance to be complete in the time left at a target where it is expected to take a certain time.
+// It has none if nine of ten requests take longer, at the speed of that target.
+func (d *dispatcher) canCompleteIn(w *waiter, expected, left time.Duration) bool {
+	mean := d.work.Mean(w.req.Route)
+	if w.trial || mean == 0 {
+		return true
+	}
+	return float64(expected)*float64(d.work.Least(w.req.Route))/float64(mean) <= float64(left)
+}
+
 // bestTarget returns the free target at which a request is expected to complete first. A target that is due for a probe comes
 // before all others. If the expected times count as equal, a target in the place of the requesting host is chosen, and otherwise the less
 // loaded one. For an object that neither has cached, rendezvous hashing decides instead of the load, so that objects spread over the targets
