Split the waits for a target from its choice, and name the file of the time left

No change of behaviour: planWait and the expected end of waits are in await.go, the checks of the time left in timeleft.go. docs/design.md 4.2.1 tells of cached objects.

--- a/pkg/permit/workleft.go
+++ b/pkg/permit/timeleft.go
@@ -25,9 +25,6 @@
 	deadlineErrorDivisor = 10
 )
 
-// waitErrorFactor is how many times as long as expected a request waits. The expected wait assumes that all requests take the mean time.
-const waitErrorFactor = 2
-
 // inTimeAfterWait is the part of the requests that must still be complete in time after the expected wait, of those that would be without it.
 const inTimeAfterWait = 0.9
 
