Refuse no request for the sake of a waiting one while slots are free

Cause: a request with an earlier deadline was refused if a waiting one of its rank was past its expected start, also with slots free that the waiting one cannot use: it excludes their targets, or they are cold. Found by reading.

Change: only a delay for lack of slots counts.

--- a/pkg/entry/spare.go
+++ b/pkg/entry/spare.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // The spare time of a request is the time until its deadline beyond the work that it needs. A request that matches a rule uses a third of it
@@ -12,9 +14,8 @@
 // takes a third at most, too.
 
 const (
-	// spareParts is the number of parts of the spare time, waitParts how many of them a request waits for its dispatcher's answer.
+	// spareParts is the number of parts of the spare time: the expected wait, its error, and the wait in another failure domain.
 	spareParts = 3
-	waitParts  = 2
 	// decisionDelay is the time that the dispatcher's answer takes beyond the wait: the network, and a busy processor at both ends.
 	decisionDelay = 20 * time.Millisecond
 	// minQueueTimeout stands for no wait: a queue timeout of 0 means that there is none.
@@ -70,5 +71,5 @@
 	if rq.rule == nil {
 		return rq.ctx, func() {}
 	}
-	return context.WithTimeout(rq.ctx, waitParts*h.queueTimeout(rq)+decisionDelay)
+	return context.WithTimeout(rq.ctx, permit.WaitErrorFactor*h.queueTimeout(rq)+decisionDelay)
 }
--- a/pkg/entry/spare_test.go
+++ b/pkg/entry/spare_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // Guards against callers that wait for a permit by the latency objective of their rule instead of the time that they have, and against waits
@@ -36,7 +37,7 @@
 		h.work.record(newRequest(0, 0), 500*time.Millisecond)
 		queue, answer := waits(newRequest(150*time.Millisecond, 2*time.Second))
 		is.Equal(queue, (1500*time.Millisecond-decisionDelay)/spareParts)
-		is.True(answer >= waitParts*queue)                          // the dispatcher refuses before the host gives up
+		is.True(answer >= permit.WaitErrorFactor*queue)             // the dispatcher refuses before the host gives up
 		is.True(2*time.Second-answer >= 500*time.Millisecond+queue) // another failure domain has the work and a third of the rest
 		twice, _ := waits(newRequest(150*time.Millisecond, 4*time.Second))
 		is.True(twice > 2*queue)
--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -84,7 +84,8 @@
 		if behind.class != w.class {
 			continue
 		}
-		if behind.hasRankOf(w) && now.Add(capacity.delay(ahead)).After(behind.startBy) {
+		delay := capacity.delay(ahead)
+		if behind.hasRankOf(w) && delay > 0 && now.Add(delay).After(behind.startBy) {
 			return true
 		}
 		ahead.add(behind)
--- a/pkg/permit/await.go
+++ b/pkg/permit/await.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// waitErrorFactor is how many times as long as expected a request waits. The expected wait assumes that all requests take the mean time.
-const waitErrorFactor = 2
+// WaitErrorFactor is how many times as long as expected a request waits. The expected wait assumes that all requests take the mean time.
+const WaitErrorFactor = 2
 
 // planWait sets until when a request waits at most, and for which target. The target at which it is expected to complete first may have no
 // free slot. The request then waits for that target, because one that has not cached the object would take several times as long.
 func (d *dispatcher) planWait(w *waiter, now time.Time) {
 	w.waitUntil = d.latestStart(w)
-	if timeout := now.Add(waitErrorFactor * w.req.QueueTimeout); w.req.QueueTimeout > 0 && timeout.Before(w.waitUntil) {
+	if timeout := now.Add(WaitErrorFactor * w.req.QueueTimeout); w.req.QueueTimeout > 0 && timeout.Before(w.waitUntil) {
 		w.waitUntil = timeout
 	}
 	limit := w.startBy.Sub(now)
@@ -24,7 +24,7 @@
 		return // whichever slot is free first is as good
 	}
 	w.awaitedTarget = best
-	w.awaitUntil = now.Add(min(waitErrorFactor*wait, limit))
+	w.awaitUntil = now.Add(min(WaitErrorFactor*wait, limit))
 	w.awaitedEnd = now.Add(total)
 	best.awaitingWaiters++
 }
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -43,7 +43,7 @@
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority uint32
 	// QueueTimeout is the longest expected wait for a slot with which the request is queued; 0 means as long as its deadline allows. The
-	// actual wait may be up to twice as long.
+	// actual wait may be WaitErrorFactor times as long.
 	QueueTimeout time.Duration
 	// HomeRegions are the regions in which the request may be served; empty means all.
 	HomeRegions []string
