--- a/pkg/entry/history.go
+++ b/pkg/entry/history.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
+	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
@@ -14,7 +18,7 @@
 	// targets lists the targets of the permits that were granted; sentTo is the host that the request was forwarded to.
 	targets []string
 	sentTo  string
-	// sends lists the sends to targets. The second attempt of a hedged request is missing if the first one wins.
+	// sends lists the sends to targets and hosts. The second attempt of a hedged request is missing if the first one wins.
 	sends []sendRecord
 	// permitWait is the total time spent on acquiring permits.
 	permitWait time.Duration
@@ -38,48 +42,118 @@
 	return texts
 }
 
-// sendRecord is one send of a request to a target: where it went, on which kind of connection, and what the target answered.
+// sendRecord is one send of a request to a target or to another host: where it went, on which kind of connection, and what is known of its
+// execution.
 type sendRecord struct {
-	target, address string
-	trace           upstream.Trace
-	// status is the status of the response, 0 if there was none, and statement what the response states about the execution.
+	// receiver is the target or, if toHost is set, the host.
+	receiver, address string
+	toHost            bool
+	// trace describes the connection to a target.
+	trace upstream.Trace
+	// status is the status of the response, 0 if there was none.
 	status    int
-	statement statement
+	execution execution
+	// reason is why another host has refused the request, or why there is no response of it.
+	reason reply.Reason
 }
 
-// String returns the record in the form "TARGET ADDRESS STATUS STATEMENT earlier=N skipped=N". See upstream.Trace for the two numbers.
+// String returns the record in the form "TARGET ADDRESS STATUS EXECUTION earlier=N skipped=N" or "host HOST ADDRESS STATUS EXECUTION REASON".
+// See upstream.Trace for the two numbers.
 func (s sendRecord) String() string {
-	return fmt.Sprintf("%s %s %d %s earlier=%d skipped=%d",
-		s.target, s.address, s.status, s.statement, s.trace.EarlierRequests, s.trace.Skipped)
+	common := fmt.Sprintf("%s %s %d %s", s.receiver, s.address, s.status, s.execution)
+	if s.toHost {
+		return strings.TrimSpace("host " + common + " " + string(s.reason))
+	}
+	return fmt.Sprintf("%s earlier=%d skipped=%d", common, s.trace.EarlierRequests, s.trace.Skipped)
 }
 
-// statement is what a target's response states about the execution of the request.
-type statement string
+// execution is what is known of the execution of a request after one send.
+type execution string
 
 const (
-	// statedNothing is the statement of a response that does not say whether the request was executed, or of no response at all.
-	statedNothing statement = "none"
-	// statedNotRun and statedGone mean that the request was not executed: by a target that shed it, or because the expected process is no
-	// longer at the target's address.
-	statedNotRun statement = "not-run"
-	statedGone   statement = "instance-gone"
+	// executionOpen means that nothing states whether the request was executed.
+	executionOpen execution = "none"
+	// executionNotSent means that no byte of the request was written.
+	executionNotSent execution = "not-sent"
+	// executionNotRun and executionGone mean that the request was not executed: by a target that shed it or another host, which state it, or
+	// because the expected process is no longer at the target's address.
+	executionNotRun execution = "not-run"
+	executionGone   execution = "instance-gone"
 )
 
-// statements lists all statements.
-var statements = []statement{statedNothing, statedNotRun, statedGone}
+// targetStatements lists what the response of a target may state.
+var targetStatements = []execution{executionOpen, executionNotRun, executionGone}
 
 // recordSend completes the record of an attempt that was sent to a target. resp is nil if there was no response.
 func (a *attempt) recordSend(resp *http.Response) {
 	r := &a.record
-	r.target, r.address, r.statement = a.grant.Target, a.grant.Address, statedNothing
+	r.receiver, r.address, r.execution = a.grant.Target, a.grant.Address, executionOpen
 	if resp == nil {
+		if !a.mayHaveBeenSent() {
+			r.execution = executionNotSent
+		}
 		return
 	}
 	r.status = resp.StatusCode
 	switch {
 	case a.info.InstanceGone:
-		r.statement = statedGone
+		r.execution = executionGone
 	case a.info.NotRun:
-		r.statement = statedNotRun
+		r.execution = executionNotRun
+	}
+}
+
+// forwardRecord returns the record of a request that was forwarded to a host. Either ans or f is nil.
+func forwardRecord(to peer.Address, ans *answer, f *failure) sendRecord {
+	r := sendRecord{receiver: to.Host, address: to.Addr, toHost: true, execution: executionOpen}
+	if ans != nil {
+		r.status = ans.resp.StatusCode
+		return r
+	}
+	r.reason = f.reason
+	if f.outcomeStated {
+		r.status = f.status
+	}
+	switch {
+	case f.mayHaveRun:
+	case f.outcomeStated:
+		r.execution = executionNotRun
+	default:
+		r.execution = executionNotSent
+	}
+	return r
+}
+
+// promiseBasis is why a host states that a request was not executed.
+type promiseBasis string
+
+const (
+	// basisNoSend means that the request was never about to be sent, basisNotSent that no send of it wrote a byte.
+	basisNoSend  promiseBasis = "no-send"
+	basisNotSent promiseBasis = "not-sent"
+	// basisTarget and basisHost mean that a target or another host states it, for at least one send.
+	basisTarget promiseBasis = "target"
+	basisHost   promiseBasis = "host"
+)
+
+// promiseBases lists all bases, each one relying on more than those before it.
+var promiseBases = []promiseBasis{basisNoSend, basisNotSent, basisTarget, basisHost}
+
+// promiseBasis returns the last basis of promiseBases that any send relies on.
+func (h *routingHistory) promiseBasis() promiseBasis {
+	rank := 0
+	for _, s := range h.sends {
+		rank = max(rank, slices.Index(promiseBases, s.basis()))
+	}
+	return promiseBases[rank]
+}
+
+func (s sendRecord) basis() promiseBasis {
+	switch {
+	case s.execution == executionNotSent:
+		return basisNotSent
+	case s.toHost:
+		return basisHost
 	}
+	return basisTarget
 }
--- a/pkg/entry/history_test.go
+++ b/pkg/entry/history_test.go
@@ -58,3 +58,52 @@
 		is.Equal(counters["entry.skipped_responses+"], int64(1))
 	})
 }
+
+// Guards against a false refusal of which neither the log nor the metrics tell whether the host believed that nothing was sent, a target or
+// another host.
+func TestReasonsOfAPromiseAreLoggedAndCounted(t *testing.T) {
+	for _, c := range []struct {
+		basis promiseBasis
+		// sends is the text of the sends in the line of the host that got the request; it ends the list.
+		sends string
+		build func(t *testing.T, change func(*Options)) *fixture
+	}{
+		{basisNoSend, ``, func(t *testing.T, change func(*Options)) *fixture { return newRuleFixture(t, 0, change) }},
+		{basisNotSent, `"sends":["nowhere nowhere 0 not-sent earlier=0 skipped=0"]`, func(t *testing.T, change func(*Options)) *fixture {
+			w := newRuleFixture(t, 0, change)
+			w.permits.targets = []string{"nowhere"}
+			return w
+		}},
+		{basisTarget, `"sends":["a a 503 not-run earlier=0 skipped=0"]`, func(t *testing.T, change func(*Options)) *fixture {
+			w := newRuleFixture(t, 0, change)
+			w.permits.targets = []string{"a"}
+			w.net.serve(t, "a", newScriptedTarget(func(c *targetConn, r *http.Request) {
+				c.answer(r, http.StatusServiceUnavailable, notRunHeader)
+			}))
+			return w
+		}},
+		{basisHost, `"sends":["host h2 h2 503 not-run no-target"]`, func(t *testing.T, change func(*Options)) *fixture {
+			first, second := redirectToSecond(t, ruleStore(), ruleStore())
+			first.permits.targets, second.permits.targets = nil, nil
+			change(&first.handler.opts)
+			first.handler.metrics = newMetrics(first.handler.opts.Scope)
+			return first
+		}},
+	} {
+		t.Run(string(c.basis), func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				lines := captureLog(t)
+				scope := tally.NewTestScope("", nil)
+				w := c.build(t, func(o *Options) { o.Dialect, o.Scope = promisingDialect{}, scope })
+				got := w.do("POST", "/r/c/a", "x", target.HeaderRequestID, "c1")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				synctest.Wait()
+				is.True(strings.Contains(lines.String(), `"at_most_once":true`))
+				is.True(strings.Contains(lines.String(), c.sends))
+				is.Equal(scope.Snapshot().Counters()["entry.promises+basis="+string(c.basis)].Value(), int64(1))
+			})
+		})
+	}
+}
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -55,6 +55,9 @@
 func (rq *request) describe(line *log.Entry) *log.Entry {
 	line = line.Str("service", rq.name).Str("rule", rq.rule.GetName()).Int("attempts", rq.attempts).
 		Int64("took_ms", time.Since(rq.start).Milliseconds()).Int64("waited_ms", rq.history.permitWait.Milliseconds())
+	if rq.command {
+		line = line.Bool("at_most_once", true)
+	}
 	if rq.fromHost != "" {
 		line = line.Str("from", rq.fromHost)
 	}
--- a/pkg/entry/record.go
+++ b/pkg/entry/record.go
@@ -18,8 +18,10 @@
 	reasons map[reply.Reason]tally.Counter
 	// targetRefusals counts the responses of targets that refuse a request, by what they state about its execution, and skipped the responses
 	// that belonged to other requests.
-	targetRefusals map[statement]tally.Counter
+	targetRefusals map[execution]tally.Counter
 	skipped        tally.Counter
+	// promises counts the requests that must run at most once and were refused as not run, by what that relies on.
+	promises map[promiseBasis]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -28,9 +30,13 @@
 		served: s.Counter("served"), broken: s.Counter("broken"), refused: s.Counter("refused"),
 		cancelled: s.Counter("cancelled"), hedges: s.Counter("hedges"), retries: s.Counter("retries"),
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
-		reasons: map[reply.Reason]tally.Counter{}, targetRefusals: map[statement]tally.Counter{}, skipped: s.Counter("skipped_responses"),
+		reasons: map[reply.Reason]tally.Counter{}, targetRefusals: map[execution]tally.Counter{}, skipped: s.Counter("skipped_responses"),
+		promises: map[promiseBasis]tally.Counter{},
 	}
-	for _, stated := range statements {
+	for _, basis := range promiseBases {
+		m.promises[basis] = s.Tagged(map[string]string{"basis": string(basis)}).Counter("promises")
+	}
+	for _, stated := range targetStatements {
 		m.targetRefusals[stated] = s.Tagged(map[string]string{"statement": string(stated)}).Counter("target_refusals")
 	}
 	for _, reason := range append(reply.Reasons(), "") {
@@ -54,8 +60,15 @@
 	if s.trace.Skipped > 0 {
 		m.skipped.Inc(int64(s.trace.Skipped))
 	}
-	if promise || s.statement != statedNothing {
-		m.targetRefusals[s.statement].Inc(1)
+	if promise || s.execution == executionNotRun || s.execution == executionGone {
+		m.targetRefusals[s.execution].Inc(1)
+	}
+}
+
+// countPromise counts a refusal that states that a request was not executed, if the request must run at most once.
+func (m *metrics) countPromise(rq *request, f *reply.Refusal) {
+	if rq.command && f.Outcome == reply.NotRun {
+		m.promises[rq.history.promiseBasis()].Inc(1)
 	}
 }
 
@@ -72,6 +85,7 @@
 	h.setConnection(rq, w.Header())
 	h.writeRefusal(w, rq, f)
 	h.metrics.countRefusal(f.Reason)
+	h.metrics.countPromise(rq, f)
 	h.log.refused(rq, f)
 	if f.Status >= http.StatusInternalServerError && rq.service != nil {
 		h.record(rq, false, f.Reason == reply.ReasonCallerGone, sinceStart(rq))
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -36,6 +36,7 @@
 		}
 	}
 	ans, f := h.forward(rq, place.Host, rq.sessionClass(place), modeRun, place.Shifted)
+	rq.history.addSend(forwardRecord(place.Host, ans, f))
 	if f != nil {
 		return nil, rq.recordFailure(f)
 	}
