--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,16 +23,15 @@
 // attempt is one send of a request, either to a target under a permit or to a remote host without a permit.
 type attempt struct {
 	id string
-	// targetRequestID is the request ID that the target receives and that its response may repeat.
+	// targetRequestID is the request ID that the target receives and that its response may repeat. It is the callerID, if that is set; other
+	// attempts, also of other requests, may then have the same one.
 	targetRequestID string
+	callerID        string
 	grant           *permit.Grant
 	ctx             context.Context
 	cancel          context.CancelCauseFunc
 	cancelDeadline  context.CancelFunc
 	sent            time.Time
-	// newConn is set if an earlier attempt was sent to the same address. Targets may receive one ID with all attempts, so that a late copy of
-	// the earlier response, on the same connection, would be taken for the response to this one.
-	newConn bool
 	// connRequested is set when the transport starts to obtain a connection, and connected when it has obtained one. From then
 	// on the request may have been sent.
 	connRequested atomic.Bool
@@ -80,21 +78,19 @@
 func (h *Handler) newAttempt(rq *request, id string, grant *permit.Grant) *attempt {
 	a := &attempt{id: id, targetRequestID: id, sent: time.Now(), cancelDeadline: func() {}}
 	if h.opts.Dialect.PreservesRequestID() {
-		a.targetRequestID = rq.hints.ID
+		a.targetRequestID, a.callerID = rq.hints.ID, rq.hints.ID
 	}
 	a.ctx, a.cancel = context.WithCancelCause(rq.ctx)
 	a.findLossCause = func() lossCause { return h.findLossCause(rq, a) }
 	if grant != nil {
-		a.setGrant(rq, grant, rq.addresses)
+		a.setGrant(rq, grant)
 	}
 	return a
 }
 
-// setGrant attaches a permit to the attempt and limits the attempt's context to the permit's deadline. earlier lists the addresses that the
-// request was sent to before.
-func (a *attempt) setGrant(rq *request, grant *permit.Grant, earlier []string) {
+// setGrant attaches a permit to the attempt and limits the attempt's context to the permit's deadline.
+func (a *attempt) setGrant(rq *request, grant *permit.Grant) {
 	a.grant, a.sent = grant, time.Now()
-	a.newConn = slices.Contains(earlier, grant.Address)
 	if !grant.Deadline.IsZero() && grant.Deadline.Before(rq.deadline) {
 		a.ctx, a.cancelDeadline = context.WithDeadline(a.ctx, grant.Deadline)
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -14,7 +14,6 @@
 func (h *Handler) tryTarget(rq *request, grant *permit.Grant) (*answer, *failure) {
 	rq.initHeader()
 	a := h.newAttempt(rq, rq.attemptID(), grant)
-	rq.addresses = append(rq.addresses, grant.Address)
 	rq.attempts++
 	rq.targetAttempts++
 	if rq.command || !rq.body.empty() || grant.HedgeAfter <= 0 {
@@ -22,7 +21,6 @@
 	}
 	r := &hedgeRace{h: h, rq: rq, first: a, secondDone: make(chan struct{})}
 	r.permitRequest = r.hedgeRequest()
-	r.addresses = rq.addresses
 	timer := time.AfterFunc(grant.HedgeAfter, func() { h.hedgeAttempts.Go(r.runSecond) })
 	ans, f := h.sendFirst(rq, a)
 	if timer.Stop() {
@@ -45,9 +43,6 @@
 	rq            *request
 	first         *attempt
 	permitRequest permit.Request
-	// addresses lists the addresses that the request was sent to before the second attempt. The elements of rq.addresses are never modified, so
-	// that both goroutines may read them.
-	addresses []string
 	// secondDone is closed when the result of the second attempt is known.
 	secondDone chan struct{}
 
@@ -105,7 +100,7 @@
 		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
 		return nil, acquireFailure(r.rq, err)
 	}
-	a.setGrant(r.rq, grant, r.addresses)
+	a.setGrant(r.rq, grant)
 	r.second = a
 	r.h.metrics.hedges.Inc(1)
 	return r.h.send(r.rq, a)
@@ -132,7 +127,6 @@
 	r.rq.targetAttempts++
 	if a := r.second; a != nil {
 		r.rq.excludedTargets = append(r.rq.excludedTargets, a.grant.Target)
-		r.rq.addresses = append(r.rq.addresses, a.grant.Address)
 		r.rq.history.addSend(a.record)
 	}
 	if r.secondAnswer != nil {
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -156,6 +156,34 @@
 	})
 }
 
+// Guards against a command that is refused as not run although it runs: a late copy of the refusal of another request with the same ID, which
+// the caller's HTTP client has sent again or a proxy has doubled, is taken for its answer.
+func TestCopyOfARefusalDoesNotAnswerAnotherRequestWithItsID(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t)
+		refused := false
+		tg := newScriptedTarget(func(c *targetConn, r *http.Request) {
+			if !refused {
+				refused = true
+				c.pending = c.answer(r, http.StatusServiceUnavailable, notRunHeader)
+				return
+			}
+			c.run(r)
+			c.answer(r, http.StatusOK, "")
+		})
+		w.net.serve(t, "a", tg)
+		w.permits.targets = []string{"a"}
+		got := w.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		got = w.do("POST", "/r/c/a", "x")
+		is.NoErr(got.err)
+		is.Equal(tg.runsOf("c1"), 1)
+		is.Equal(got.status, http.StatusOK)
+	})
+}
+
 // Guards against a hedged read that is refused as not run, or gets the answer of another process: the copy of the first attempt's refusal is
 // taken for the answer to the second attempt, at the same address.
 func TestCopyOfARefusalDoesNotAnswerAHedge(t *testing.T) {
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -63,8 +63,6 @@
 	// unreached is the number of attempts of which no target received anything. They are not among targetAttempts.
 	unreached       int
 	excludedTargets []string
-	// addresses lists the addresses of the targets that the request was sent to. Several targets may have the same one.
-	addresses []string
 	// mayHaveRun is set once a target may have executed an attempt.
 	mayHaveRun bool
 	// lastFailure is the failure to report if no further attempt is made.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -25,7 +25,7 @@
 		return nil, f
 	}
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
-		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(), NewConn: a.newConn,
+		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(), RequestID: a.callerID,
 		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.record.trace,
 		Matches: func(resp *http.Response) upstream.Match { return h.matchAttempt(a, resp) },
 	})
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -44,6 +44,7 @@
 	// of its request.
 	requestCount int
 	echoesID     bool
+	carried      carriedIDs
 	// stopWatching ends watchContext. It returns false if the context has ended before.
 	stopWatching func() bool
 	closed       atomic.Bool
@@ -105,6 +106,7 @@
 // exchange sends the request and returns the matching response once its header has arrived.
 func (c *conn) exchange(req *http.Request, o Options) (*http.Response, error) {
 	o.Trace.EarlierRequests = c.requestCount
+	c.carried.add(o.RequestID)
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
 	}
@@ -206,7 +208,7 @@
 // reusable reports whether the connection can carry another request after the response.
 func (c *conn) reusable(resp *http.Response) bool {
 	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return !c.dedicated && !resp.Close && !closeDelimited && resp.StatusCode != http.StatusSwitchingProtocols
+	return !c.dedicated && !c.carried.full() && !resp.Close && !closeDelimited && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
 // requestWritten reports whether the whole request has been written.
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,9 +48,9 @@
 	Address string
 	// DedicatedConn selects a new connection for this request, which is closed afterwards.
 	DedicatedConn bool
-	// NewConn selects a new connection for this request, which is kept for later ones. It must be set if an earlier request with the
-	// same ID may have used a connection to this address: a late copy of its response would match this request.
-	NewConn bool
+	// RequestID is the ID that the response states, if other requests may have the same one; empty if it is unique. A connection carries it
+	// only once: a late copy of the response to the first request would match the second one.
+	RequestID string
 	// Matches reports whether a response belongs to the request. It must not read the body. Nil accepts any response.
 	Matches func(*http.Response) Match
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
@@ -168,8 +169,8 @@
 
 // connect returns the most recently used idle connection that is still usable, unless the options exclude it, or a new one.
 func (c *Client) connect(ctx context.Context, o Options) (*conn, error) {
-	if !o.DedicatedConn && !o.NewConn {
-		for cn := c.takeIdle(o.Address); cn != nil; cn = c.takeIdle(o.Address) {
+	if !o.DedicatedConn {
+		for cn := c.takeIdle(o); cn != nil; cn = c.takeIdle(o) {
 			if cn.usable() {
 				return cn, nil
 			}
@@ -185,15 +186,20 @@
 	return newConn(nc, c, o), nil
 }
 
-// takeIdle removes the most recently used connection to the address from the pool and returns it, or nil if there is none.
-func (c *Client) takeIdle(address string) *conn {
+// takeIdle removes from the pool the most recently used connection to the address that may carry the request, and returns it, or nil if
+// there is none.
+func (c *Client) takeIdle(o Options) *conn {
 	now := time.Now()
 	c.mu.Lock()
 	expired := c.removeExpired(now)
 	var found *conn
-	if list := c.idle[address]; len(list) > 0 {
-		found = list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
+	list := c.idle[o.Address]
+	for i, cn := range slices.Backward(list) {
+		if !cn.carried.contains(o.RequestID) {
+			found = cn
+			c.idle[o.Address] = slices.Delete(list, i, i+1)
+			break
+		}
 	}
 	c.mu.Unlock()
 	closeAll(expired)
