--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -39,9 +39,8 @@
 	finished      atomic.Bool
 	firstByte     time.Duration
 	bytes         uint64
-	// info holds the metadata of the target's response header.
-	info dialect.ResponseInfo
-	// responded is set once the target's response header has been read.
+	// info holds the metadata of the target's response header, and responded is set, once the response to this attempt has been read.
+	info      dialect.ResponseInfo
 	responded bool
 	// record describes the send for the log. It is empty if the attempt failed before a connection was requested.
 	record sendRecord
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -10,7 +10,9 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
@@ -225,3 +227,34 @@
 		is.True(!w.permits.released[1].Leaving)
 	})
 }
+
+// Guards against a target that gets no more requests although it runs: a skipped response to an earlier request, for a process that is gone, is
+// taken for a statement of the process that loses the next request.
+func TestSkippedResponseSaysNothingAboutTheTarget(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := promisingFixture(t)
+		w.net.serve(t, "a", newScriptedTarget(func(c *targetConn, r *http.Request) {
+			if r.Header.Get(headerExpected) != "t-new" {
+				c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+				return
+			}
+			c.run(r)
+			c.sendPending()
+			c.ended = true
+		}))
+		w.permits.withAddresses(map[string]string{"t-old": "a", "t-new": "a"}, "t-old")
+		got := w.do("POST", "/r/c/a", "x", target.HeaderRequestID, "c1")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		w.permits.targets = []string{"t-new"}
+		got = w.do("POST", "/r/c/a", "x", target.HeaderRequestID, "c2")
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusBadGateway)
+		synctest.Wait()
+		lost := w.permits.released[1]
+		is.Equal(lost.Outcome, peerv1.ReleaseOutcome_RELEASE_OUTCOME_CONNECTION_LOST)
+		is.True(!lost.Leaving)
+		is.True(!lost.Responded)
+	})
+}
--- a/pkg/entry/response.go
+++ b/pkg/entry/response.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
+	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
@@ -19,16 +20,14 @@
 	drainTimeout  = 50 * time.Millisecond
 )
 
-// matchAttempt stores the metadata of a target's response in a.info and tells whether the response belongs to the attempt. Targets need not
-// repeat the request ID.
-func (h *Handler) matchAttempt(a *attempt, resp *http.Response) upstream.Match {
-	a.info, a.responded = h.opts.Dialect.ReadResponse(resp), true
+// match tells whether a response with the given metadata belongs to the attempt. Targets need not repeat the request ID.
+func (a *attempt) match(info dialect.ResponseInfo) upstream.Match {
 	switch {
-	case a.info.ID == "" && a.info.NotRun:
+	case info.ID == "" && info.NotRun:
 		return upstream.MatchNoIDNotRun
-	case a.info.ID == "":
+	case info.ID == "":
 		return upstream.MatchNoID
-	case a.info.ID == a.targetRequestID:
+	case info.ID == a.targetRequestID:
 		return upstream.MatchID
 	}
 	return upstream.MatchOther
--- a/pkg/entry/scripted_target_test.go
+++ b/pkg/entry/scripted_target_test.go
@@ -84,11 +84,16 @@
 	id := r.Header.Get(target.HeaderRequestID)
 	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: 3\r\n\r\nend", status, http.StatusText(status),
 		target.HeaderRequestID, id, header)
-	pending := c.pending
-	c.pending = ""
-	_, _ = io.WriteString(c.out, pending+text)
+	c.sendPending()
+	_, _ = io.WriteString(c.out, text)
 	return text
 }
 
+// sendPending writes what is pending.
+func (c *targetConn) sendPending() {
+	_, _ = io.WriteString(c.out, c.pending)
+	c.pending = ""
+}
+
 // notRunHeader is the header with which a target states that it did not run a request.
 const notRunHeader = headerNotRun + ": 1\r\n"
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -24,11 +24,19 @@
 		a.finish(peerv1.ReleaseOutcome_RELEASE_OUTCOME_NOT_SENT)
 		return nil, f
 	}
+	var info dialect.ResponseInfo
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
 		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(), RequestID: a.callerID,
 		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.record.trace,
-		Matches: func(resp *http.Response) upstream.Match { return h.matchAttempt(a, resp) },
+		Matches: func(resp *http.Response) upstream.Match {
+			info = h.opts.Dialect.ReadResponse(resp)
+			return a.match(info)
+		},
 	})
+	if err == nil {
+		// The response that was read last has been accepted. Those before it belong to other requests.
+		a.info, a.responded = info, true
+	}
 	a.firstByte = time.Since(a.sent)
 	a.connRequested.Store(true)
 	a.connected.Store(!errors.Is(err, upstream.ErrNotSent))
