Sum up the requests ahead once, and remove an unused round-trip time

admitWait and displaces both summed up the requests ahead of a new one. Nothing has read the round-trip time of a session since. Behaviour is unchanged; the tests of pkg/permit and pkg/peer pass.

--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -60,9 +59,6 @@
 	return resp, steperr.Wrap(err, "forward", t.to.Name())
 }
 
-// RoundTripTime returns the round-trip time of the last ping on the short session to a host; 0 if there is none.
-func (n *Node) RoundTripTime(to Address) time.Duration { return n.link(to, SessionShort).roundTrip() }
-
 type senderKey struct{}
 
 // SenderFrom returns the host that forwarded a request, from the context of the request.
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -70,16 +70,6 @@
 	return nil, l.dialing
 }
 
-// roundTrip returns the round-trip time of the session's last ping; 0 without a session or a ping.
-func (l *link) roundTrip() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.current == nil {
-		return 0
-	}
-	return time.Duration(l.current.roundTrip.Load())
-}
-
 func (l *link) dial(attempt *dialAttempt, to Address) {
 	ctx, cancel := context.WithTimeout(l.node.ctx, dialTimeout)
 	defer cancel()
--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -68,17 +68,17 @@
 	}
 	w.startBy = now.Add(limit)
 	capacity := d.capacityFor(w.class)
-	delay := capacity.delay(d.queue.ahead(w))
-	if delay > 0 && delay > limit || d.displaces(w, capacity, now) {
+	ahead := d.queue.ahead(w)
+	delay := capacity.delay(ahead)
+	if delay > 0 && delay > limit || d.displaces(w, ahead, capacity, now) {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, d.queueDelay(w.class))
 	}
 	return nil
 }
 
 // displaces reports whether a request with an earlier deadline would delay a waiting one of its rank beyond the start that was expected when
-// that one was queued. A caller that was held must not be refused for the sake of one that came later.
-func (d *dispatcher) displaces(w *waiter, capacity classCapacity, now time.Time) bool {
-	ahead := d.queue.ahead(w)
+// that one was queued. A caller that was held must not be refused for the sake of one that came later. ahead are the requests before w.
+func (d *dispatcher) displaces(w *waiter, ahead backlog, capacity classCapacity, now time.Time) bool {
 	ahead.add(w)
 	for _, behind := range d.queue.behind(w) {
 		if behind.class != w.class {
--- a/pkg/permit/queue_test.go
+++ b/pkg/permit/queue_test.go
@@ -16,12 +16,15 @@
 		class: classShort, deadline: now.Add(2 * time.Second), startBy: now.Add(-time.Millisecond), work: 300 * time.Millisecond,
 	}}}
 	w := &waiter{class: classShort, deadline: now.Add(time.Second), work: 300 * time.Millisecond}
-	is.True(!d.displaces(w, classCapacity{free: 2, usable: 4, meanHold: 300 * time.Millisecond}, now))
-	is.True(d.displaces(w, classCapacity{free: 0, usable: 4, meanHold: 300 * time.Millisecond}, now))
+	displaces := func(free int) bool {
+		return d.displaces(w, d.queue.ahead(w), classCapacity{free: free, usable: 4, meanHold: 300 * time.Millisecond}, now)
+	}
+	is.True(!displaces(2))
+	is.True(displaces(0))
 	w.deadline = now.Add(3 * time.Second)
-	is.True(!d.displaces(w, classCapacity{free: 0, usable: 4, meanHold: 300 * time.Millisecond}, now)) // it comes later anyway
+	is.True(!displaces(0)) // it comes later anyway
 	w.deadline, w.req.Priority = now.Add(time.Second), 1
-	is.True(!d.displaces(w, classCapacity{free: 0, usable: 4, meanHold: 300 * time.Millisecond}, now)) // it is less urgent
+	is.True(!displaces(0)) // it is less urgent
 }
 
 // Guards against an order in which urgent requests, or of equally urgent ones those with less time, come later.
