--- a/pkg/entry/dialect/dialect.go
+++ b/pkg/entry/dialect/dialect.go
@@ -40,7 +40,8 @@
 	ID string
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
-	// InstanceGone is set if the process named by AttemptInfo.Instance is no longer at the target's address.
+	// InstanceGone is set if the process named by AttemptInfo.Instance is no longer at the target's address. NotRun tells whether the other
+	// process left the request alone.
 	InstanceGone bool
 	// RetryAfter is the time after which the target may accept requests again; 0 if it is not stated.
 	RetryAfter time.Duration
--- a/pkg/entry/dialect_test.go
+++ b/pkg/entry/dialect_test.go
@@ -30,9 +30,9 @@
 }
 
 func (promisingDialect) ReadResponse(resp *http.Response) dialect.ResponseInfo {
-	gone := resp.StatusCode == http.StatusMisdirectedRequest
 	return dialect.ResponseInfo{
-		ID: resp.Header.Get(target.HeaderRequestID), InstanceGone: gone, NotRun: gone || resp.Header.Get(headerNotRun) != "",
+		ID: resp.Header.Get(target.HeaderRequestID), InstanceGone: resp.StatusCode == http.StatusMisdirectedRequest,
+		NotRun: resp.Header.Get(headerNotRun) != "",
 	}
 }
 
--- a/pkg/entry/faulty_fleet_test.go
+++ b/pkg/entry/faulty_fleet_test.go
@@ -41,7 +41,9 @@
 func (r *seededRand) percent(p int) bool { return r.intN(100) < p }
 
 // ownRefusals are the statuses with which a target may answer although it has run the request.
-var ownRefusals = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+var ownRefusals = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
 
 // faultyFleet is a set of addresses, at which target processes end and others take over. It grants permits for the processes at random.
 type faultyFleet struct {
@@ -120,7 +122,7 @@
 	}
 	switch {
 	case r.Header.Get(headerExpected) != p.name:
-		f.respond(c, r, http.StatusMisdirectedRequest, "")
+		f.respond(c, r, http.StatusMisdirectedRequest, notRunHeader)
 		return
 	case f.rng.percent(shedPercent):
 		f.respond(c, r, http.StatusServiceUnavailable, notRunHeader)
--- a/pkg/entry/history.go
+++ b/pkg/entry/history.go
@@ -96,7 +96,7 @@
 	}
 	r.status = resp.StatusCode
 	switch {
-	case a.info.InstanceGone:
+	case a.info.NotRun && a.info.InstanceGone:
 		r.execution = executionGone
 	case a.info.NotRun:
 		r.execution = executionNotRun
--- a/pkg/entry/history_test.go
+++ b/pkg/entry/history_test.go
@@ -38,7 +38,7 @@
 				c.pending = c.answer(r, http.StatusServiceUnavailable, notRunHeader)
 				return
 			}
-			c.answer(r, http.StatusMisdirectedRequest, "")
+			c.answer(r, http.StatusMisdirectedRequest, notRunHeader)
 		}))
 		for _, id := range []string{"c1", "c2"} {
 			got := w.do("POST", "/r/c/a", "x", target.HeaderRequestID, id)
--- a/pkg/entry/outcome_pairs_test.go
+++ b/pkg/entry/outcome_pairs_test.go
@@ -35,8 +35,9 @@
 	}},
 	{"bytes that are no response", true, func(c *targetConn, _ *http.Request) { _, _ = io.WriteString(c.out, "garbage\r\n\r\n") }},
 	{"status of its own", true, func(c *targetConn, r *http.Request) { c.answer(r, http.StatusServiceUnavailable, "") }},
+	{"own status of another process", true, func(c *targetConn, r *http.Request) { c.answer(r, http.StatusMisdirectedRequest, "") }},
 	{"shed", false, func(c *targetConn, r *http.Request) { c.answer(r, http.StatusServiceUnavailable, notRunHeader) }},
-	{"instance gone", false, func(c *targetConn, r *http.Request) { c.answer(r, http.StatusMisdirectedRequest, "") }},
+	{"instance gone", false, func(c *targetConn, r *http.Request) { c.answer(r, http.StatusMisdirectedRequest, notRunHeader) }},
 	{"no connection", false, nil},
 }
 
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -67,7 +67,7 @@
 func takenOverAddress() *scriptedTarget {
 	return newScriptedTarget(func(c *targetConn, r *http.Request) {
 		if r.Header.Get(headerExpected) != "t-new" {
-			c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+			c.pending = c.answer(r, http.StatusMisdirectedRequest, notRunHeader)
 			return
 		}
 		c.run(r)
@@ -195,7 +195,7 @@
 		tg := newScriptedTarget(func(c *targetConn, r *http.Request) {
 			if r.Header.Get(headerExpected) != "t-new" {
 				time.Sleep(30 * time.Millisecond)
-				c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+				c.pending = c.answer(r, http.StatusMisdirectedRequest, notRunHeader)
 				return
 			}
 			c.run(r)
@@ -236,7 +236,7 @@
 		w := promisingFixture(t)
 		w.net.serve(t, "a", newScriptedTarget(func(c *targetConn, r *http.Request) {
 			if r.Header.Get(headerExpected) != "t-new" {
-				c.pending = c.answer(r, http.StatusMisdirectedRequest, "")
+				c.pending = c.answer(r, http.StatusMisdirectedRequest, notRunHeader)
 				return
 			}
 			c.run(r)
