--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -54,8 +54,10 @@
 		Table: p.Platform, FailureDomain: app.Settings.EffectiveDispatchDomain(),
 		ShiftShare: app.Settings.ShiftPercent / 100, ShiftWindow: app.Settings.ShiftWindow,
 		RetryRatio: app.Settings.RetryPercent / 100, RetryBurst: float64(app.Settings.RetryBurst),
-		Scope:               scope.Scope,
-		DomainLoads:         func(service string) []DomainLoad { return domainLoads(members.Tracker, service) },
+		Scope: scope.Scope,
+		DomainLoads: func(service string) []DomainLoad {
+			return domainLoads(members.Tracker, conf.Store.Current(), service)
+		},
 		LastReportedPermits: func(host string) []*peerv1.HeldPermits { return lastReportedPermits(members.Tracker, host) },
 	})
 	members.HeldPermits = m.Manager.HeldPermits
@@ -65,16 +67,12 @@
 
 // domainLoads returns the loads of a service in the other failure domains, from the summaries that they gossip. Failure domains
 // without hosts are left out.
-func domainLoads(tracker *membership.Tracker, service string) []DomainLoad {
+func domainLoads(tracker *membership.Tracker, snap *config.Snapshot, service string) []DomainLoad {
 	var list []DomainLoad
 	for _, s := range tracker.Summaries() {
-		if len(tracker.Domain(s.GetFailureDomain())) == 0 {
-			continue
+		if len(tracker.Domain(s.GetFailureDomain())) > 0 {
+			list = append(list, domainLoad(snap, service, s))
 		}
-		h := HeadroomOf(service, s.GetServices())
-		list = append(list, DomainLoad{
-			Domain: s.GetFailureDomain(), Region: s.GetRegion(), Slots: float64(h.GetTotalSlots()), Demand: float64(h.GetDemandSlots()),
-		})
 	}
 	return list
 }
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/pkg/config"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
 )
@@ -48,6 +49,32 @@
 	return loads
 }
 
+// domainLoad returns the load of a service in another failure domain, from the reports of its dispatchers in a summary. Reports of some of them
+// may be missing or, while their number changes, two may cover one target. Their sum stands for the slots that they cover, and is scaled to those
+// in the configuration.
+func domainLoad(snap *config.Snapshot, service string, s *peerv1.DomainSummary) DomainLoad {
+	h := HeadroomOf(service, s.GetServices())
+	load := DomainLoad{
+		Domain: s.GetFailureDomain(), Region: s.GetRegion(), Slots: float64(h.GetTotalSlots()), Demand: float64(h.GetDemandSlots()),
+	}
+	configured := configuredSlots(snap, service, s.GetFailureDomain())
+	if covered := h.GetConfiguredSlots(); covered > 0 && configured > 0 {
+		scale := float64(configured) / float64(covered)
+		load.Slots *= scale
+		load.Demand *= scale
+	}
+	return load
+}
+
+// configuredSlots returns the number of slots of the targets of a service in a failure domain, usable or not.
+func configuredSlots(snap *config.Snapshot, service, failureDomain string) uint32 {
+	sum := uint32(0)
+	for _, t := range snap.Targets(service, failureDomain) {
+		sum += t.GetSlots()
+	}
+	return sum
+}
+
 // balancingEnabled reports whether the service's policy enables balancing between regions.
 func (d *dispatcher) balancingEnabled() bool {
 	return d.snap.Policy(ServiceOf(d.service)).GetBalanceRegions()
--- a/pkg/permit/release.go
+++ b/pkg/permit/release.go
@@ -133,7 +133,7 @@
 	q.reply <- &peerv1.ServiceHeadroom{
 		Service: d.service, FreeSlots: uint32(free), TotalSlots: uint32(total),
 		QueueDelayMs: ceilMilliseconds(d.queueDelay(classShort)),
-		DemandSlots:  float32(d.balance.Demand(d.meanHoldTime[classShort])),
+		DemandSlots:  float32(d.balance.Demand(d.meanHoldTime[classShort])), ConfiguredSlots: uint32(d.slots.configured()),
 	}
 }
 
--- a/pkg/permit/shard.go
+++ b/pkg/permit/shard.go
@@ -76,6 +76,7 @@
 			sum = &peerv1.ServiceHeadroom{
 				Service: service, FreeSlots: sum.GetFreeSlots() + r.GetFreeSlots(), TotalSlots: sum.GetTotalSlots() + r.GetTotalSlots(),
 				QueueDelayMs: min(sum.GetQueueDelayMs(), r.GetQueueDelayMs()), DemandSlots: sum.GetDemandSlots() + r.GetDemandSlots(),
+				ConfiguredSlots: sum.GetConfiguredSlots() + r.GetConfiguredSlots(),
 			}
 		}
 	}
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -206,6 +206,15 @@
 	return free, total
 }
 
+// configured returns the number of slots of all targets in the configuration, usable or not.
+func (s *slotTable) configured() int {
+	sum := 0
+	for _, t := range s.order {
+		sum += t.slots
+	}
+	return sum
+}
+
 // capacity returns the slots that a request class can take now, and the slots it could have in total while the other class
 // keeps those that it occupies.
 func (s *slotTable) capacity(class configv1.RequestClass) (free, usable int) {
