--- a/pkg/permit/balance/balance.go
+++ b/pkg/permit/balance/balance.go
@@ -62,8 +62,10 @@
 	// Slots is the number of slots of its own targets, HoldTime the mean time for which a request occupies one.
 	Slots    int
 	HoldTime time.Duration
-	// Others are the loads of the other failure domains.
-	Others []Load
+	// Others are the loads of the other failure domains, divided by Dispatchers: the number of dispatchers of the service in this failure
+	// domain, each of which balances its part of the requests.
+	Others      []Load
+	Dispatchers int
 }
 
 // Request is what the selection depends on.
@@ -84,8 +86,9 @@
 	updatedAt   time.Time
 	// unlimitedUntil is until when the shares change without a rate limit.
 	unlimitedUntil time.Time
-	// peakSlots is the largest number of slots of each failure domain since its last loss of slots.
-	peakSlots map[string]float64
+	// peakSlots is the largest number of slots of each failure domain since its last loss of slots, divided by dispatchers.
+	peakSlots   map[string]float64
+	dispatchers int
 	// rateSamples counts the observations in arrivalRate.
 	rateSamples int
 	// shares holds the share of each failure domain including this one, sorted by name.
@@ -112,7 +115,9 @@
 		b.updateArrivalRate(elapsed)
 	}
 	b.arrivals = 0
-	loads := b.loads(observe())
+	observed := observe()
+	b.setDispatchers(observed.Dispatchers)
+	loads := b.loads(observed)
 	if b.detectSlotLoss(loads) {
 		b.unlimitedUntil = now.Add(unlimitedShiftPeriod)
 	}
@@ -124,6 +129,17 @@
 	b.shares = limitShift(b.shares, wanted, maxShift)
 }
 
+// setDispatchers adapts the peaks to the number of dispatchers. How many slots of this failure domain belong to this dispatcher changes with it.
+func (b *Balancer) setDispatchers(n int) {
+	if b.dispatchers > 0 && n > 0 && b.dispatchers != n {
+		for domain := range b.peakSlots {
+			b.peakSlots[domain] *= float64(b.dispatchers) / float64(n)
+		}
+		delete(b.peakSlots, b.opts.Domain)
+	}
+	b.dispatchers = n
+}
+
 // updateArrivalRate adds the arrivals since the last update to the moving average. The first observations have equal weights.
 func (b *Balancer) updateArrivalRate(elapsed time.Duration) {
 	b.rateSamples++
--- a/pkg/permit/balance/balance_test.go
+++ b/pkg/permit/balance/balance_test.go
@@ -171,6 +171,29 @@
 	is.Equal(fraction(b.shares, "b"), 0.0)
 }
 
+// Guards against requests that move at once because a service gets more dispatchers, each of which sees a smaller part of the slots and of the
+// demand.
+func TestMoreDispatchersAreNoLoss(t *testing.T) {
+	is := is.New(t)
+	b := newFixture()
+	b.Dispatchers = 1
+	b.Slots = 30
+	b.Others = []Load{{Domain: "b", Slots: 90, Demand: 20}}
+	b.HoldTime = 150 * time.Millisecond
+	for range int(30 * time.Second / updateInterval) {
+		b.step(40)
+	}
+	before := fraction(b.shares, "a")
+	b.Dispatchers = 2
+	b.Slots = 12 // names decide which targets a dispatcher has
+	b.Others = []Load{{Domain: "b", Slots: 45, Demand: 10}}
+	b.step(20)
+	is.True(math.Abs(fraction(b.shares, "a")-before) < 0.0026) // the limit is a twentieth in 2 s
+	b.Others = []Load{{Domain: "b", Slots: 30, Demand: 10}}
+	b.step(20)
+	is.True(b.now.Before(b.unlimitedUntil)) // a real loss is still noticed
+}
+
 // Guards against objects that move between regions, and against shares that are not reached within a few requests because some
 // objects are much more popular than others.
 func TestObjectsStayInTheirRegion(t *testing.T) {
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -29,19 +29,18 @@
 // observeLoads returns the slots of this failure domain and the loads of the others.
 func (d *dispatcher) observeLoads() balance.Observation {
 	_, slots := d.slots.totals()
-	o := balance.Observation{Slots: slots, HoldTime: d.meanHoldTime[classShort]}
+	shards := shardCount(len(d.snap.Targets(ServiceOf(d.service), d.manager.opts.FailureDomain)))
+	o := balance.Observation{Slots: slots, HoldTime: d.meanHoldTime[classShort], Dispatchers: shards}
 	if d.manager.opts.DomainLoads != nil {
-		o.Others = d.otherDomainLoads()
+		o.Others = d.otherDomainLoads(float64(shards))
 	}
 	return o
 }
 
 // otherDomainLoads returns the loads of the other failure domains, divided by the number of shards of this one: each shard
 // balances its own part of the requests.
-func (d *dispatcher) otherDomainLoads() []DomainLoad {
-	service := ServiceOf(d.service)
-	loads := d.manager.opts.DomainLoads(service)
-	shards := float64(shardCount(len(d.snap.Targets(service, d.manager.opts.FailureDomain))))
+func (d *dispatcher) otherDomainLoads(shards float64) []DomainLoad {
+	loads := d.manager.opts.DomainLoads(ServiceOf(d.service))
 	for i := range loads {
 		loads[i].Slots /= shards
 		loads[i].Demand /= shards
