Scale no sum of reports in which hosts of two versions take part

During a rolling upgrade a sum of reports of which some do not state their configured slots would be scaled as if they covered nothing: 152 slots were taken for 80 in the case that joins the test, which failed before. Such a sum is used as it is, like that of earlier versions alone.

--- a/pkg/permit/domain_load_test.go
+++ b/pkg/permit/domain_load_test.go
@@ -25,6 +25,7 @@
 		{"one missing", []*peerv1.ServiceHeadroom{report("s", 18, 18), report("s#2", 21, 21), report("s#3", 19, 19)}, 80},
 		{"of two dispatchers before, of four now", []*peerv1.ServiceHeadroom{report("s", 40, 40), report("s#1", 22, 22), report("s#2", 21, 21)}, 80},
 		{"half of the targets unusable, one missing", []*peerv1.ServiceHeadroom{report("s", 9, 18), report("s#2", 11, 22)}, 40},
+		{"of two versions", []*peerv1.ServiceHeadroom{report("s", 38, 0), report("s#1", 22, 22), report("s#2", 20, 20)}, 80},
 		{"of an earlier version", []*peerv1.ServiceHeadroom{report("s", 38, 0), report("s#1", 42, 0)}, 80},
 		{"none", nil, 0},
 	} {
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
@@ -57,7 +58,7 @@
 		Domain: s.GetFailureDomain(), Region: s.GetRegion(), Slots: float64(h.GetTotalSlots()), Demand: float64(h.GetDemandSlots()),
 	}
 	configured := configuredSlots(snap, service, s.GetFailureDomain())
-	if covered := h.GetConfiguredSlots(); covered > 0 && configured > 0 {
+	if covered := h.GetConfiguredSlots(); covered > 0 && configured > 0 && !reportsWithoutConfiguration(service, s.GetServices()) {
 		scale := float64(configured) / float64(covered)
 		load.Slots *= scale
 		load.Demand *= scale
@@ -65,6 +66,13 @@
 	return load
 }
 
+// reportsWithoutConfiguration reports whether the host of one of the dispatchers has an earlier version, which does not state configured slots.
+func reportsWithoutConfiguration(service string, reports []*peerv1.ServiceHeadroom) bool {
+	return slices.ContainsFunc(reports, func(r *peerv1.ServiceHeadroom) bool {
+		return ServiceOf(r.GetService()) == service && r.GetTotalSlots() > 0 && r.GetConfiguredSlots() == 0
+	})
+}
+
 // configuredSlots returns the number of slots of the targets of a service in a failure domain, usable or not.
 func configuredSlots(snap *config.Snapshot, service, failureDomain string) uint32 {
 	sum := uint32(0)
