--- a/pkg/permit/module.go
+++ b/pkg/permit/module.go
@@ -65,18 +65,6 @@
 	return nil
 }
 
-// domainLoads returns the loads of a service in the other failure domains, from the summaries that they gossip. Failure domains
-// without hosts are left out.
-func domainLoads(tracker *membership.Tracker, snap *config.Snapshot, service string) []DomainLoad {
-	var list []DomainLoad
-	for _, s := range tracker.Summaries() {
-		if len(tracker.Domain(s.GetFailureDomain())) > 0 {
-			list = append(list, domainLoad(snap, service, s))
-		}
-	}
-	return list
-}
-
 // lastReportedPermits returns what a host's last heartbeat reported, with deadlines relative to now.
 func lastReportedPermits(tracker *membership.Tracker, host string) []*peerv1.HeldPermits {
 	reports, _, _ := tracker.LastReportedPermits(host)
