--- a/pkg/entry/ending.go
+++ b/pkg/entry/ending.go
@@ -18,6 +18,15 @@
 // be complete by that time, which another host can serve.
 func (h *Handler) SetEnd(at time.Time) { h.end.Store(&at) }
 
+// timeLeft returns the time until a request's deadline or, if that comes first, until this host cuts it.
+func (h *Handler) timeLeft(rq *request) time.Duration {
+	left := time.Until(rq.deadline)
+	if end := h.end.Load(); end != nil {
+		left = min(left, time.Until(*end))
+	}
+	return left
+}
+
 // mayBeCut reports whether a request that is sent now may still run when this host ends. A request that may be repeated is sent if it will
 // probably be complete; any other one only if its deadline comes first, because its caller would not learn whether it has run.
 func (h *Handler) mayBeCut(rq *request, expected time.Duration) bool {
--- a/pkg/entry/spare.go
+++ b/pkg/entry/spare.go
@@ -8,7 +8,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// The spare time of a request is the time until its deadline beyond the work that it needs. A request that matches a rule uses a third of it
+// The spare time of a request is the time until its deadline, or until its host ends, beyond the work that it needs. A request that matches a rule uses a third of it
 // for the wait that its dispatcher expects, and another third in case that the wait turns out longer. The rest is left for another failure
 // domain, in case that the dispatcher does not answer: replacing a failed one takes seconds. A wait for budget on a link to another region
 // takes a third at most, too.
@@ -46,9 +46,8 @@
 	e.byRoute[workKey{rq.name, rq.statisticsRoute()}] = expected
 }
 
-// spareTime returns the spare time that is left now. A route of which nothing is known counts as one that needs half of the time left.
-func (e *workEstimates) spareTime(rq *request) time.Duration {
-	left := time.Until(rq.deadline)
+// spareTime returns the spare time of a request that has some time left. A route of which nothing is known counts as one that needs half of it.
+func (e *workEstimates) spareTime(rq *request, left time.Duration) time.Duration {
 	e.mu.Lock()
 	work, known := e.byRoute[workKey{rq.name, rq.statisticsRoute()}]
 	e.mu.Unlock()
@@ -63,12 +62,15 @@
 	if rq.rule == nil {
 		return 0
 	}
-	return max(minQueueTimeout, (h.work.spareTime(rq)-decisionDelay)/spareParts)
+	return max(minQueueTimeout, (h.work.spareTime(rq, h.timeLeft(rq))-decisionDelay)/spareParts)
 }
 
-// acquireContext limits how long a request waits for the dispatcher's answer.
+// acquireContext limits how long a request waits for the dispatcher's answer. It can be refused afterwards, also if this host ends.
 func (h *Handler) acquireContext(rq *request) (context.Context, context.CancelFunc) {
 	if rq.rule == nil {
+		if left := h.timeLeft(rq); time.Now().Add(left).Before(rq.deadline) {
+			return context.WithTimeout(rq.ctx, left-decisionDelay)
+		}
 		return rq.ctx, func() {}
 	}
 	return context.WithTimeout(rq.ctx, permit.WaitErrorFactor*h.queueTimeout(rq)+decisionDelay)
--- a/pkg/entry/stop_test.go
+++ b/pkg/entry/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
+	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
 // Guards against a planned stop that aborts requests in flight: a slow request, a long response or a command.
@@ -170,3 +171,38 @@
 		is.True(w.do("GET", "/nothing", "").closing)
 	})
 }
+
+// silentAcquirer is a dispatcher that does not answer.
+type silentAcquirer struct{}
+
+func (silentAcquirer) Acquire(ctx context.Context, _ permit.Request) (*permit.Grant, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a read that still waits for a permit when its host ends, and gets no answer.
+func TestNoRequestWaitsForAPermitBeyondTheEnd(t *testing.T) {
+	const untilEnd = time.Second
+	for _, path := range []string{"/r/a", "/lookup/a"} {
+		t.Run(path, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newFixture(t, 1, func(o *Options) {
+					if path == "/r/a" {
+						o.Store = ruleStore()
+					}
+				})
+				w.permits.expected = 200 * time.Millisecond
+				is.NoErr(w.do("GET", path, "").err)
+				w.handler.opts.Permits = silentAcquirer{}
+				start := time.Now()
+				w.handler.SetEnd(start.Add(untilEnd))
+				got := w.do("GET", path, "")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.Equal(got.header.Get("Rattanhitch-Outcome"), "not-run")
+				is.True(time.Since(start) < untilEnd)
+			})
+		})
+	}
+}
