--- a/pkg/entry/spare.go
+++ b/pkg/entry/spare.go
@@ -8,10 +8,10 @@
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 )
 
-// The spare time of a request is the time until its deadline, or until its host ends, beyond the work that it needs. A request that matches a rule uses a third of it
-// for the wait that its dispatcher expects, and another third in case that the wait turns out longer. The rest is left for another failure
-// domain, in case that the dispatcher does not answer: replacing a failed one takes seconds. A wait for budget on a link to another region
-// takes a third at most, too.
+// The spare time of a request is the time until its deadline, or until its host ends, beyond the work that it needs. A request that matches a
+// rule uses a third of it for the wait that its dispatcher expects, and another third in case that the wait turns out longer. The rest is left
+// for another failure domain, in case that the dispatcher does not answer: replacing a failed one takes seconds. A wait for budget on a link to
+// another region takes a third at most, too.
 
 const (
 	// spareParts is the number of parts of the spare time: the expected wait, its error, and the wait in another failure domain.
