--- a/pkg/entry/upstream/carried.go
+++ b/pkg/entry/upstream/carried.go
@@ -9,20 +9,26 @@
 // maxCarriedIDs limits the memory for the IDs that a connection has carried, to 2 KB. A connection that has carried so many is closed.
 const maxCarriedIDs = 256
 
-// carriedIDs holds the hashes of the request IDs that a connection has carried. Two IDs with one hash only cost a connection.
-type carriedIDs []uint64
+// idHash is the hash of a request ID, 0 for an empty one. Two IDs with one hash only cost a connection.
+type idHash uint64
 
-// add records an ID; an empty one is ignored.
-func (c *carriedIDs) add(id string) {
-	if id != "" {
-		*c = append(*c, xxhash.Sum64String(id))
+func hashID(id string) idHash {
+	if id == "" {
+		return 0
 	}
+	return max(idHash(xxhash.Sum64String(id)), 1)
 }
 
-// contains reports whether an ID was recorded.
-func (c carriedIDs) contains(id string) bool {
-	return id != "" && slices.Contains(c, xxhash.Sum64String(id))
+// carriedIDs holds the request IDs that a connection has carried. The hash 0 is never among them.
+type carriedIDs []idHash
+
+func (c *carriedIDs) add(id idHash) {
+	if id != 0 {
+		*c = append(*c, id)
+	}
 }
 
+func (c carriedIDs) contains(id idHash) bool { return slices.Contains(c, id) }
+
 // full reports whether no further ID can be recorded.
 func (c carriedIDs) full() bool { return len(c) >= maxCarriedIDs }
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -106,7 +106,6 @@
 // exchange sends the request and returns the matching response once its header has arrived.
 func (c *conn) exchange(req *http.Request, o Options) (*http.Response, error) {
 	o.Trace.EarlierRequests = c.requestCount
-	c.carried.add(o.RequestID)
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
 	}
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -106,10 +106,12 @@
 // connection are marked with ErrNotSent.
 func (c *Client) RoundTrip(req *http.Request, o Options) (*http.Response, error) {
 	ctx := req.Context()
-	cn, err := c.connect(ctx, o)
+	id := hashID(o.RequestID)
+	cn, err := c.connect(ctx, o, id)
 	if err != nil {
 		return nil, errors.Mark(steperr.Wrap(err, "connect", o.Address), ErrNotSent)
 	}
+	cn.carried.add(id)
 	cn.watchContext(ctx)
 	if o.Trace == nil {
 		o.Trace = &Trace{}
@@ -167,10 +169,11 @@
 	}
 }
 
-// connect returns the most recently used idle connection that is still usable, unless the options exclude it, or a new one.
-func (c *Client) connect(ctx context.Context, o Options) (*conn, error) {
+// connect returns the most recently used idle connection that is still usable and has not carried the ID, or a new one. The options may exclude
+// idle ones.
+func (c *Client) connect(ctx context.Context, o Options, id idHash) (*conn, error) {
 	if !o.DedicatedConn {
-		for cn := c.takeIdle(o); cn != nil; cn = c.takeIdle(o) {
+		for cn := c.takeIdle(o.Address, id); cn != nil; cn = c.takeIdle(o.Address, id) {
 			if cn.usable() {
 				return cn, nil
 			}
@@ -186,18 +189,18 @@
 	return newConn(nc, c, o), nil
 }
 
-// takeIdle removes from the pool the most recently used connection to the address that may carry the request, and returns it, or nil if
+// takeIdle removes from the pool the most recently used connection to the address that has not carried the ID, and returns it, or nil if
 // there is none.
-func (c *Client) takeIdle(o Options) *conn {
+func (c *Client) takeIdle(address string, id idHash) *conn {
 	now := time.Now()
 	c.mu.Lock()
 	expired := c.removeExpired(now)
 	var found *conn
-	list := c.idle[o.Address]
+	list := c.idle[address]
 	for i, cn := range slices.Backward(list) {
-		if !cn.carried.contains(o.RequestID) {
+		if !cn.carried.contains(id) {
 			found = cn
-			c.idle[o.Address] = slices.Delete(list, i, i+1)
+			c.idle[address] = slices.Delete(list, i, i+1)
 			break
 		}
 	}
