--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -23,10 +23,9 @@
 // attempt is one send of a request, either to a target under a permit or to a remote host without a permit.
 type attempt struct {
 	id string
-	// targetRequestID is the request ID that the target receives and that its response may repeat. It is the callerID, if that is set; other
-	// attempts, also of other requests, may then have the same one.
+	// targetRequestID is the request ID that the target receives and that its response may repeat: the caller's one, which other attempts may
+	// have too, or id.
 	targetRequestID string
-	callerID        string
 	grant           *permit.Grant
 	ctx             context.Context
 	cancel          context.CancelCauseFunc
@@ -77,7 +76,7 @@
 func (h *Handler) newAttempt(rq *request, id string, grant *permit.Grant) *attempt {
 	a := &attempt{id: id, targetRequestID: id, sent: time.Now(), cancelDeadline: func() {}}
 	if h.opts.Dialect.PreservesRequestID() {
-		a.targetRequestID, a.callerID = rq.hints.ID, rq.hints.ID
+		a.targetRequestID = rq.hints.ID
 	}
 	a.ctx, a.cancel = context.WithCancelCause(rq.ctx)
 	a.findLossCause = func() lossCause { return h.findLossCause(rq, a) }
@@ -87,6 +86,14 @@
 	return a
 }
 
+// sharedID returns the request ID that the target receives, if other attempts may have the same one, else an empty text.
+func (a *attempt) sharedID() string {
+	if a.targetRequestID == a.id {
+		return ""
+	}
+	return a.targetRequestID
+}
+
 // setGrant attaches a permit to the attempt and limits the attempt's context to the permit's deadline.
 func (a *attempt) setGrant(rq *request, grant *permit.Grant) {
 	a.grant, a.sent = grant, time.Now()
