Work out the queue timeout of a request once, and its end in one place

Each permit worked out the queue timeout twice, with a look into the shared estimates each time: for the dispatcher, and for how long the host waits for it. mayBeCut and the time left compared the end of the host with the deadline each in its own way; both use endOf.

--- a/pkg/entry/ending.go
+++ b/pkg/entry/ending.go
@@ -18,26 +18,25 @@
 // be complete by that time, which another host can serve.
 func (h *Handler) SetEnd(at time.Time) { h.end.Store(&at) }
 
-// timeLeft returns the time until a request's deadline or, if that comes first, until this host cuts it.
-func (h *Handler) timeLeft(rq *request) time.Duration {
-	left := time.Until(rq.deadline)
-	if end := h.end.Load(); end != nil {
-		left = min(left, time.Until(*end))
+// endOf returns the deadline of a request or, if that comes first, when this host cuts it.
+func (h *Handler) endOf(rq *request) time.Time {
+	if end := h.end.Load(); end != nil && end.Before(rq.deadline) {
+		return *end
 	}
-	return left
+	return rq.deadline
 }
 
 // mayBeCut reports whether a request that is sent now may still run when this host ends. A request that may be repeated is sent if it will
 // probably be complete; any other one only if its deadline comes first, because its caller would not learn whether it has run.
 func (h *Handler) mayBeCut(rq *request, expected time.Duration) bool {
-	end := h.end.Load()
-	if end == nil || !rq.deadline.After(*end) {
+	end := h.endOf(rq)
+	if end.Equal(rq.deadline) {
 		return false
 	}
 	if rq.command || expected == 0 {
 		return true
 	}
-	return time.Now().Add(expectedTimeFactor * expected).After(*end)
+	return time.Now().Add(expectedTimeFactor * expected).After(end)
 }
 
 // checkEnd returns a failure if the request must not be sent because it may be cut when this host ends. An expected time of 0 means that none
--- a/pkg/entry/obtain.go
+++ b/pkg/entry/obtain.go
@@ -97,10 +97,11 @@
 	if rq.attempts > 0 {
 		h.metrics.retries.Inc(1)
 	}
-	ctx, cancel := h.acquireContext(rq)
+	q := h.permitRequest(rq)
+	ctx, cancel := h.acquireContext(rq, q.QueueTimeout)
 	defer cancel()
 	start := time.Now()
-	grant, err := h.opts.Permits.Acquire(ctx, h.permitRequest(rq))
+	grant, err := h.opts.Permits.Acquire(ctx, q)
 	rq.history.permitWait += time.Since(start)
 	if err != nil {
 		var refused *permit.RefusedError
--- a/pkg/entry/remote.go
+++ b/pkg/entry/remote.go
@@ -46,7 +46,7 @@
 // paceRequest waits for budget on the link to another region, for a part of the spare time at most: the request may have to wait for a permit
 // there too, and one that is sent later would probably end without an answer.
 func (h *Handler) paceRequest(rq *request, toHost string) error {
-	ctx, cancel := context.WithTimeout(rq.ctx, h.work.spareTime(rq, h.timeLeft(rq))/spareParts)
+	ctx, cancel := context.WithTimeout(rq.ctx, h.spareTime(rq)/spareParts)
 	defer cancel()
 	return h.opts.Pacer.Pace(ctx, toHost, rq.estimatedBytes())
 }
--- a/pkg/entry/spare.go
+++ b/pkg/entry/spare.go
@@ -46,11 +46,18 @@
 	e.byRoute[workKey{rq.name, rq.statisticsRoute()}] = expected
 }
 
-// spareTime returns the spare time of a request that has some time left. A route of which nothing is known counts as one that needs half of it.
-func (e *workEstimates) spareTime(rq *request, left time.Duration) time.Duration {
+// of returns how long a request is expected to take, and whether that is known.
+func (e *workEstimates) of(rq *request) (work time.Duration, known bool) {
 	e.mu.Lock()
-	work, known := e.byRoute[workKey{rq.name, rq.statisticsRoute()}]
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	work, known = e.byRoute[workKey{rq.name, rq.statisticsRoute()}]
+	return work, known
+}
+
+// spareTime returns the spare time that is left now. A route of which nothing is known counts as one that needs half of the time left.
+func (h *Handler) spareTime(rq *request) time.Duration {
+	left := time.Until(h.endOf(rq))
+	work, known := h.work.of(rq)
 	if !known {
 		work = left / 2
 	}
@@ -62,16 +69,17 @@
 	if rq.rule == nil {
 		return 0
 	}
-	return max(minQueueTimeout, (h.work.spareTime(rq, h.timeLeft(rq))-decisionDelay)/spareParts)
+	return max(minQueueTimeout, (h.spareTime(rq)-decisionDelay)/spareParts)
 }
 
-// acquireContext limits how long a request waits for the dispatcher's answer. It can be refused afterwards, also if this host ends.
-func (h *Handler) acquireContext(rq *request) (context.Context, context.CancelFunc) {
-	if rq.rule == nil {
-		if left := h.timeLeft(rq); time.Now().Add(left).Before(rq.deadline) {
-			return context.WithTimeout(rq.ctx, left-decisionDelay)
-		}
-		return rq.ctx, func() {}
+// acquireContext limits how long a request with a queue timeout waits for the dispatcher's answer. It can be refused afterwards, also if this
+// host ends.
+func (h *Handler) acquireContext(rq *request, queueTimeout time.Duration) (context.Context, context.CancelFunc) {
+	if queueTimeout > 0 {
+		return context.WithTimeout(rq.ctx, permit.WaitErrorFactor*queueTimeout+decisionDelay)
+	}
+	if end := h.endOf(rq); end.Before(rq.deadline) {
+		return context.WithDeadline(rq.ctx, end.Add(-decisionDelay))
 	}
-	return context.WithTimeout(rq.ctx, permit.WaitErrorFactor*h.queueTimeout(rq)+decisionDelay)
+	return rq.ctx, func() {}
 }
--- a/pkg/entry/spare_test.go
+++ b/pkg/entry/spare_test.go
@@ -23,12 +23,13 @@
 			return &request{rule: rule, name: "lookup", deadline: time.Now().Add(left), ctx: t.Context()}
 		}
 		waits := func(rq *request) (queue, answer time.Duration) {
-			ctx, cancel := h.acquireContext(rq)
+			queue = h.queueTimeout(rq)
+			ctx, cancel := h.acquireContext(rq, queue)
 			defer cancel()
 			if end, limited := ctx.Deadline(); limited {
 				answer = time.Until(end)
 			}
-			return h.queueTimeout(rq), answer
+			return queue, answer
 		}
 		for _, objective := range []time.Duration{0, 150 * time.Millisecond, 1200 * time.Millisecond} {
 			queue, _ := waits(newRequest(objective, 2*time.Second))
