Sum up what reports cover where they are summed up

A sum of reports now says itself that it is unknown what it covers, in the form in which a single report does. Behaviour is unchanged; the six cases of TestReportsOfSomeDispatchersStandForAll and the one of two versions pass.

--- a/pkg/permit/domain_load.go
+++ b/pkg/permit/domain_load.go
@@ -1,8 +1,6 @@
 package permit
 
 import (
-	"slices"
-
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
@@ -32,8 +30,11 @@
 	load := DomainLoad{
 		Domain: s.GetFailureDomain(), Region: s.GetRegion(), Slots: float64(h.GetTotalSlots()), Demand: float64(h.GetDemandSlots()),
 	}
-	configured := configuredSlots(snap, service, s.GetFailureDomain())
-	if covered := h.GetConfiguredSlots(); covered > 0 && configured > 0 && !reportsWithoutConfiguration(service, s.GetServices()) {
+	covered := h.GetConfiguredSlots()
+	if covered == 0 {
+		return load
+	}
+	if configured := configuredSlots(snap, service, s.GetFailureDomain()); configured > 0 {
 		scale := float64(configured) / float64(covered)
 		load.Slots *= scale
 		load.Demand *= scale
@@ -41,13 +42,6 @@
 	return load
 }
 
-// reportsWithoutConfiguration reports whether the host of one of the dispatchers has an earlier version, which does not state configured slots.
-func reportsWithoutConfiguration(service string, reports []*peerv1.ServiceHeadroom) bool {
-	return slices.ContainsFunc(reports, func(r *peerv1.ServiceHeadroom) bool {
-		return ServiceOf(r.GetService()) == service && r.GetTotalSlots() > 0 && r.GetConfiguredSlots() == 0
-	})
-}
-
 // configuredSlots returns the number of slots of the targets of a service in a failure domain, usable or not.
 func configuredSlots(snap *config.Snapshot, service, failureDomain string) uint32 {
 	sum := uint32(0)
--- a/pkg/permit/shard.go
+++ b/pkg/permit/shard.go
@@ -76,13 +76,24 @@
 			sum = &peerv1.ServiceHeadroom{
 				Service: service, FreeSlots: sum.GetFreeSlots() + r.GetFreeSlots(), TotalSlots: sum.GetTotalSlots() + r.GetTotalSlots(),
 				QueueDelayMs: min(sum.GetQueueDelayMs(), r.GetQueueDelayMs()), DemandSlots: sum.GetDemandSlots() + r.GetDemandSlots(),
-				ConfiguredSlots: sum.GetConfiguredSlots() + r.GetConfiguredSlots(),
+				ConfiguredSlots: coveredSlots(sum, r),
 			}
 		}
 	}
 	return sum
 }
 
+// coveredSlots returns the slots that two reports cover together, or 0 if one of them does not state it: the host of its dispatcher has an earlier
+// version.
+func coveredSlots(a, b *peerv1.ServiceHeadroom) uint32 {
+	for _, r := range []*peerv1.ServiceHeadroom{a, b} {
+		if r.GetTotalSlots() > 0 && r.GetConfiguredSlots() == 0 {
+			return 0
+		}
+	}
+	return a.GetConfiguredSlots() + b.GetConfiguredSlots()
+}
+
 // shardKeyFor returns the key of the dispatcher for a request. Requests without an object go to a random shard.
 func shardKeyFor(snap *config.Snapshot, failureDomain string, req Request) string {
 	count := shardCount(len(snap.Targets(req.Service, failureDomain)))
