Check the answers of commands against their runs in one place

The check is the same: at least one run for each success, at most one for each answer that is no promise.

--- a/pkg/entry/faulty_fleet_test.go
+++ b/pkg/entry/faulty_fleet_test.go
@@ -35,14 +35,13 @@
 type faultyFleet struct {
 	rng       *soak.Rand
 	redirects bool
+	runs      soak.RunCounter
 
 	mu sync.Mutex
 	// processes are the present processes, by address, and listed the addresses of the present processes and of those before them, by name.
 	processes map[string]*process
 	listed    map[string]string
 	started   int
-	// runs counts runs by request ID.
-	runs map[string]int
 }
 
 // process is one lifetime of a target. Its context ends with it.
@@ -54,7 +53,7 @@
 
 // newFaultyFleet returns a fleet that serves at the addresses.
 func newFaultyFleet(t *testing.T, net *pipeNet, rng *soak.Rand, addresses ...string) *faultyFleet {
-	f := &faultyFleet{rng: rng, processes: map[string]*process{}, listed: map[string]string{}, runs: map[string]int{}}
+	f := &faultyFleet{rng: rng, processes: map[string]*process{}, listed: map[string]string{}}
 	for _, address := range addresses {
 		f.restart(address)
 		net.serve(t, address, newScriptedTarget(func(c *targetConn, r *http.Request) { f.serve(c, r, address) }))
@@ -114,9 +113,7 @@
 		f.respond(c, r, http.StatusServiceUnavailable, notRunHeader)
 		return
 	}
-	f.mu.Lock()
-	f.runs[r.Header.Get(target.HeaderRequestID)]++
-	f.mu.Unlock()
+	f.runs.Add(r.Header.Get(target.HeaderRequestID))
 	time.Sleep(time.Duration(f.rng.IntN(int(maxWork))))
 	switch {
 	case p.ended.Err() != nil || f.rng.Percent(lostAnswerPercent):
@@ -157,8 +154,4 @@
 	return nil, &permit.RefusedError{Reason: refusalNoTarget, RetryAfter: time.Second}
 }
 
-func (f *faultyFleet) runsOf(id string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.runs[id]
-}
+func (f *faultyFleet) runsOf(id string) int { return f.runs.Of(id) }
--- a/pkg/entry/promise_random_test.go
+++ b/pkg/entry/promise_random_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -83,7 +82,8 @@
 			statuses[status]++
 		}
 		id := fmt.Sprint("c-", n)
-		if runs := here.runsOf(id) + there.runsOf(id); !got.allow(runs) {
+		least, most := soak.AllowedRuns(got.statuses, isPromise)
+		if runs := here.runsOf(id) + there.runsOf(id); runs < least || runs > most {
 			t.Errorf("command %s was answered with statuses %v and has run %d times", id, got.statuses, runs)
 		}
 	}
@@ -114,18 +114,3 @@
 	got := send()
 	return commandAnswers{[]int{got.status}, got.err}
 }
-
-// allow reports whether the answers are true if the command has run a number of times: each send may have run once unless its answer is a
-// promise, and has run if its answer is a success.
-func (a commandAnswers) allow(runs int) bool {
-	least, most := 0, 0
-	for _, status := range a.statuses {
-		if status == http.StatusOK {
-			least++
-		}
-		if !isPromise(status) {
-			most++
-		}
-	}
-	return runs >= least && runs <= most
-}
--- a/pkg/entry/scripted_target_test.go
+++ b/pkg/entry/scripted_target_test.go
@@ -5,17 +5,15 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
+	"github.com/rattanhitch/rattanhitch/internal/soak"
 	"github.com/rattanhitch/rattanhitch/internal/standin/target"
 )
 
 // scriptedTarget serves requests one after another on each connection with a function of the test. It counts runs by request ID.
 type scriptedTarget struct {
 	serve func(c *targetConn, r *http.Request)
-
-	mu   sync.Mutex
-	runs map[string]int
+	runs  soak.RunCounter
 }
 
 // targetConn is a connection to a scriptedTarget.
@@ -31,7 +29,7 @@
 }
 
 func newScriptedTarget(serve func(c *targetConn, r *http.Request)) *scriptedTarget {
-	return &scriptedTarget{serve: serve, runs: map[string]int{}}
+	return &scriptedTarget{serve: serve}
 }
 
 // ServeHTTP takes the connection over and serves all requests that arrive on it.
@@ -66,18 +64,10 @@
 }
 
 // run counts a run of the request.
-func (c *targetConn) run(r *http.Request) {
-	c.target.mu.Lock()
-	defer c.target.mu.Unlock()
-	c.target.runs[r.Header.Get(target.HeaderRequestID)]++
-}
+func (c *targetConn) run(r *http.Request) { c.target.runs.Add(r.Header.Get(target.HeaderRequestID)) }
 
 // runsOf returns how often a request has run.
-func (t *scriptedTarget) runsOf(id string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.runs[id]
-}
+func (t *scriptedTarget) runsOf(id string) int { return t.runs.Of(id) }
 
 // answer writes a response with the ID of the request, after what is pending, and returns its text.
 func (c *targetConn) answer(r *http.Request, status int, header string) string {
