--- a/pkg/config/module.go
+++ b/pkg/config/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -76,6 +77,14 @@
 	return versions
 }
 
+// Age returns the time for which the configuration in force may have been out of date. ok is false if that is not known.
+func (m *Module) Age(now time.Time) (age time.Duration, ok bool) {
+	if m.source == nil {
+		return 0, false
+	}
+	return m.source.Age(now)
+}
+
 // Validate implements kernel.Module. There is nothing to check.
 func (m *Module) Validate() error { return nil }
 
--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,8 @@
 type Source interface {
 	// Run puts the snapshots of the source into force in store until ctx ends.
 	Run(ctx context.Context, store *Store)
+	// Age returns the time for which the snapshot in force may have been out of date. ok is false before the first one.
+	Age(now time.Time) (age time.Duration, ok bool)
 }
 
 // Opener opens a source. It is called while the module config is provisioned and may use the modules platform, peer and
--- a/pkg/daemon/modules.go
+++ b/pkg/daemon/modules.go
@@ -7,6 +7,7 @@
 	_ "github.com/rattanhitch/rattanhitch/pkg/config"
 	_ "github.com/rattanhitch/rattanhitch/pkg/frontend"
 	_ "github.com/rattanhitch/rattanhitch/pkg/membership"
+	_ "github.com/rattanhitch/rattanhitch/pkg/overload"
 	_ "github.com/rattanhitch/rattanhitch/pkg/peer"
 	_ "github.com/rattanhitch/rattanhitch/pkg/permit"
 	_ "github.com/rattanhitch/rattanhitch/pkg/store"
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -107,12 +107,15 @@
 	// that there never is one.
 	FindRemote func(failureDomain string, homes []string) (place Place, ok bool)
 	// Dialect reads and writes the request metadata of callers and targets; nil means dialect.Native.
-	Dialect  dialect.Dialect
-	Recorder Recorder
-	Pacer    Pacer
-	Scope    tally.Scope
-	Self     peer.Identity
-	Limits   Limits
+	Dialect dialect.Dialect
+	// ConfigAge returns the time for which the configuration in force may have been out of date; ok is false if that is not known. It may
+	// be nil.
+	ConfigAge func(now time.Time) (age time.Duration, ok bool)
+	Recorder  Recorder
+	Pacer     Pacer
+	Scope     tally.Scope
+	Self      peer.Identity
+	Limits    Limits
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -144,6 +147,9 @@
 	if opts.Paths == nil {
 		opts.Paths = directPaths{}
 	}
+	if opts.ConfigAge == nil {
+		opts.ConfigAge = func(time.Time) (time.Duration, bool) { return 0, false }
+	}
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -77,7 +77,7 @@
 		line = line.Int64("timeout_ms", rq.deadline.Sub(rq.start).Milliseconds())
 	}
 	if rq.configVersion > 0 {
-		line = line.Uint64("config", rq.configVersion)
+		line = line.Uint64("config", rq.configVersion).Int64("config_age_ms", rq.configAge.Milliseconds())
 	}
 	if ms := rq.rule.GetLatencyMs(); ms > 0 {
 		line = line.Uint32("objective_ms", ms)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -53,8 +53,10 @@
 	redirectDomain   string
 	// configVersion is the reported version of the configuration that applies to the request.
 	configVersion uint64
-	history       routingHistory
-	mode          mode
+	// configAge is the time for which that configuration may have been out of date when the request arrived; 0 if it is not known.
+	configAge time.Duration
+	history   routingHistory
+	mode      mode
 
 	// attempts is the number of sends to targets and hosts, targetAttempts the number of those to targets. Both include what the
 	// forwarding host has sent to targets.
@@ -94,6 +96,7 @@
 	}
 	snap := h.opts.Store.Current()
 	rq.configVersion = snap.ReportedVersion()
+	rq.configAge, _ = h.opts.ConfigAge(rq.start)
 	if snap.Version == 0 {
 		f := refusal(http.StatusServiceUnavailable, reply.ReasonNotReady, "no configuration is loaded yet")
 		f.RetryAfter = notReadyRetryAfter
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -90,7 +90,7 @@
 		return err
 	}
 	m.store = conf.Store
-	if err := m.provisionEntry(app, conf.Store); err != nil {
+	if err := m.provisionEntry(app, conf); err != nil {
 		return err
 	}
 	adminModule.InFlight = m.Entry.InFlight
@@ -108,7 +108,7 @@
 	return steperr.Wrap(err, "listen for callers", m.settings.CallerListen)
 }
 
-func (m *Module) provisionEntry(app *kernel.App, store *config.Store) error {
+func (m *Module) provisionEntry(app *kernel.App, conf *config.Module) error {
 	var (
 		scope    *telemetry.Module
 		node     *peer.Module
@@ -135,15 +135,15 @@
 	}
 	waitTracker := steering.NewWaitTracker(permits.Manager)
 	headroom := steering.NewHeadroom(s.EffectiveDispatchDomain(), waitTracker, m.members.Tracker)
-	planner := steering.NewPlanner(store, headroom, s.EffectiveDispatchDomain(), s.Region)
+	planner := steering.NewPlanner(conf.Store, headroom, s.EffectiveDispatchDomain(), s.Region)
 	steerer := steering.NewSteerer(planner, m.members.Tracker, budgets.Admit)
-	targets := &domainTargets{store: store, domain: s.EffectiveDispatchDomain()}
+	targets := &domainTargets{store: conf.Store, domain: s.EffectiveDispatchDomain()}
 	m.tunnels = tunnel.New(tunnel.Options{
 		Dial: m.Dial, Forwarder: node.Node, Members: m.members.Tracker, Targets: targets.list, Place: s.FailureDomain,
 		SetIsolated: m.setIsolated, Forbids: permits.Manager.ForbidsAddress, Scope: scope.Scope,
 	})
 	m.Entry = entry.New(entry.Options{
-		Store:      store,
+		Store:      conf.Store,
 		Permits:    waitTracker,
 		Steerer:    steerer,
 		FindRemote: steerer.Find,
@@ -152,6 +152,7 @@
 		Dial:       m.tunnels.DialContext,
 		Paths:      m.tunnels,
 		Dialect:    requestDialect,
+		ConfigAge:  conf.Age,
 		Recorder:   burn.RequestRecorder{Recorder: counts.Recorder},
 		Pacer:      budgets.Pacer,
 		Scope:      scope.Scope,
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -41,6 +41,16 @@
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
 	recoveredAt time.Time
 	changed     chan struct{}
+	applied     applied
+}
+
+// applied is the state of the rows that Rows returned and SetInForce then confirmed.
+type applied struct {
+	// returnedAt is readAt, and returnedAll that no row has changed since, when Rows was called last.
+	returnedAt  time.Time
+	returnedAll bool
+	// behindAt is the time up to which the rows in force are up to date while newer ones are not in force yet, or zero.
+	behindAt time.Time
 }
 
 type row struct {
@@ -76,6 +86,7 @@
 func (t *Table) Rows(now time.Time) (rows map[string]Row, next time.Time, loaded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.applied.returnedAt, t.applied.returnedAll = t.readAt, true
 	rows = make(map[string]Row, len(t.rows))
 	for key, r := range t.rows {
 		if r.deleted {
@@ -116,6 +127,27 @@
 	return now.Sub(t.readAt), t.version > 0
 }
 
+// SetInForce states that the rows that the last call of Rows returned are in force now.
+func (t *Table) SetInForce() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applied.behindAt = time.Time{}
+	if !t.applied.returnedAll {
+		t.applied.behindAt = t.applied.returnedAt
+	}
+}
+
+// AgeInForce returns the time for which the rows in force may have been out of date. ok is false if the table was never read.
+func (t *Table) AgeInForce(now time.Time) (age time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.readAt
+	if !t.applied.behindAt.IsZero() {
+		at = t.applied.behindAt
+	}
+	return now.Sub(at), t.version > 0
+}
+
 // position returns the version up to which the table is complete; 0 if it was never read.
 func (t *Table) position() uint64 {
 	t.mu.Lock()
@@ -150,6 +182,7 @@
 			t.recoveredAt = at
 		}
 	}
+	previouslyReadAt := t.readAt
 	var changed []store.WatchedRow
 	listed := map[string]bool{}
 	for _, r := range u.rows {
@@ -174,6 +207,10 @@
 	t.purgeTombstones(now)
 	// A peer may push all rows to a starting host before its first read. That read changes no row but completes the table.
 	if len(changed) > 0 || firstRead {
+		t.applied.returnedAll = false
+		if t.applied.behindAt.IsZero() {
+			t.applied.behindAt = previouslyReadAt
+		}
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -252,3 +252,36 @@
 	table.merge(restored, later)
 	is.Equal(values(table, later), map[string]string{"added": "1", "changed": "1", "deleted": "1", "kept": "1"})
 }
+
+// Guards against an age that tells how fresh the copy is while rows of it are not in force yet: a host without processor time may have the
+// rows for seconds before it uses them.
+func TestAgeInForceCountsRowsThatAreNotInForce(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	table := newTable("t", equal)
+	age := func(seconds int) time.Duration {
+		age, ok := table.AgeInForce(at(seconds))
+		is.True(ok)
+		return age
+	}
+	_, ok := table.AgeInForce(start)
+	is.True(!ok)
+	table.merge(update{rows: []store.WatchedRow{put("a", "1", 1)}, version: 1}, at(0))
+	table.Rows(at(0))
+	table.SetInForce()
+	table.merge(update{version: 1}, at(1))
+	is.Equal(age(2), time.Second) // read at 1, and nothing has changed
+
+	table.merge(update{rows: []store.WatchedRow{put("a", "2", 2)}, version: 2}, at(3))
+	table.merge(update{version: 2}, at(4))
+	is.Equal(age(5), 4*time.Second) // the rows in force are those of 1
+
+	table.Rows(at(5))
+	table.merge(update{rows: []store.WatchedRow{put("a", "3", 3)}, version: 3}, at(6))
+	table.SetInForce()
+	is.Equal(age(6), 2*time.Second) // the rows of 4 are in force, those of 6 are not
+	table.Rows(at(6))
+	table.SetInForce()
+	is.Equal(age(7), time.Second)
+}
