--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -111,11 +111,13 @@
 	// ConfigAge returns the time for which the configuration in force may have been out of date; ok is false if that is not known. It may
 	// be nil.
 	ConfigAge func(now time.Time) (age time.Duration, ok bool)
-	Recorder  Recorder
-	Pacer     Pacer
-	Scope     tally.Scope
-	Self      peer.Identity
-	Limits    Limits
+	// Overloaded reports whether this host has more work than processor time at a moment, so that it refuses what comes. It may be nil.
+	Overloaded func(now time.Time) bool
+	Recorder   Recorder
+	Pacer      Pacer
+	Scope      tally.Scope
+	Self       peer.Identity
+	Limits     Limits
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -150,6 +152,9 @@
 	if opts.ConfigAge == nil {
 		opts.ConfigAge = func(time.Time) (time.Duration, bool) { return 0, false }
 	}
+	if opts.Overloaded == nil {
+		opts.Overloaded = func(time.Time) bool { return false }
+	}
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
@@ -196,6 +201,10 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *origin) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	if h.opts.Overloaded(time.Now()) {
+		h.refuseOverloaded(w, r, from)
+		return
+	}
 	rq, refusal := h.newRequest(w, r, from)
 	if refusal != nil {
 		h.refuse(w, rq, refusal)
--- a/pkg/entry/record.go
+++ b/pkg/entry/record.go
@@ -76,6 +76,12 @@
 // with an idempotency key: an earlier send with that key may have been executed, which only the key's owner can tell. A request
 // that another host forwarded to be run gets not-run in either case.
 func (h *Handler) refuse(w http.ResponseWriter, rq *request, f *reply.Refusal) {
+	h.sendRefusal(w, rq, f)
+	h.log.refused(rq, f)
+}
+
+// sendRefusal is refuse without the log line.
+func (h *Handler) sendRefusal(w http.ResponseWriter, rq *request, f *reply.Refusal) {
 	if f.Outcome == "" {
 		f.Outcome = reply.NotRun
 		if rq.idempotencyKey != "" && rq.mode != modeRun {
@@ -86,7 +92,6 @@
 	h.writeRefusal(w, rq, f)
 	h.metrics.countRefusal(f.Reason)
 	h.metrics.countPromise(rq, f)
-	h.log.refused(rq, f)
 	if f.Status >= http.StatusInternalServerError && rq.service != nil {
 		h.record(rq, false, f.Reason == reply.ReasonCallerGone, sinceStart(rq))
 	}
--- a/pkg/entry/redirect.go
+++ b/pkg/entry/redirect.go
@@ -39,9 +39,13 @@
 }
 
 // unreachable reports whether a request was refused because the other host, or the targets from there, cannot be reached, or because that
-// host is about to end.
+// host is about to end or has no processor time for it.
 func unreachable(reason reply.Reason) bool {
-	return reason == reply.ReasonHostUnreachable || reason == reply.ReasonTargetUnreachable || reason == reply.ReasonHostLeaving
+	switch reason {
+	case reply.ReasonHostUnreachable, reply.ReasonTargetUnreachable, reply.ReasonHostLeaving, reply.ReasonOverloaded:
+		return true
+	}
+	return false
 }
 
 // forwardToDomain forwards the request to a host of the named failure domain. An empty name selects any other failure domain that
--- a/pkg/entry/reply/reply.go
+++ b/pkg/entry/reply/reply.go
@@ -66,6 +66,7 @@
 	ReasonHostUnreachable     Reason = "host-unreachable"
 	ReasonHostBroken          Reason = "host-broken"
 	ReasonHostLeaving         Reason = "host-leaving"
+	ReasonOverloaded          Reason = "overloaded"
 	ReasonCallerGone          Reason = "caller-gone"
 	ReasonKeyRequired         Reason = "key-required"
 	ReasonKeyInvalid          Reason = "key-invalid"
@@ -92,7 +93,7 @@
 		ReasonCallerGone, ReasonKeyRequired, ReasonKeyInvalid, ReasonKeyReused,
 		ReasonTicketInvalid, ReasonTicketExpired, ReasonOwnerGone, ReasonOwnerUnreachable,
 		ReasonRecordExpired, ReasonRecordsFull, ReasonPlatformUnavailable, ReasonAnswerTooLarge,
-		ReasonInternal, ReasonHostLeaving,
+		ReasonInternal, ReasonHostLeaving, ReasonOverloaded,
 	}
 }
 
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -25,6 +25,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/lookup"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
+	"github.com/rattanhitch/rattanhitch/pkg/overload"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 	"github.com/rattanhitch/rattanhitch/pkg/prefix"
@@ -50,7 +51,7 @@
 func init() {
 	kernel.Register(kernel.Info{
 		ID:    ModuleID,
-		After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, command.ModuleID, budget.ModuleID, burn.ModuleID, admin.ModuleID},
+		After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, command.ModuleID, budget.ModuleID, burn.ModuleID, admin.ModuleID, overload.ModuleID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -116,6 +117,7 @@
 		commands *command.Module
 		counts   *burn.Module
 		budgets  *budget.Module
+		load     *overload.Module
 	)
 	err := kernel.Bind(app,
 		kernel.To(&scope, telemetry.ModuleID),
@@ -124,6 +126,7 @@
 		kernel.To(&commands, command.ModuleID),
 		kernel.To(&counts, burn.ModuleID),
 		kernel.To(&budgets, budget.ModuleID),
+		kernel.To(&load, overload.ModuleID),
 	)
 	if err != nil {
 		return err
@@ -153,6 +156,7 @@
 		Paths:      m.tunnels,
 		Dialect:    requestDialect,
 		ConfigAge:  conf.Age,
+		Overloaded: load.Meter.Overloaded,
 		Recorder:   burn.RequestRecorder{Recorder: counts.Recorder},
 		Pacer:      budgets.Pacer,
 		Scope:      scope.Scope,
--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -3,8 +3,8 @@
 package overload
 
 import (
+	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,73 +14,106 @@
 	minWaits  = 16
 	// maxWindow ends a window with fewer waits. A process that does so little waits for nothing but its own garbage collection.
 	maxWindow = time.Second
-	// waitQuantile is the fraction of the waits that Wait covers. Most waits are short in any case: a goroutine that hands over to another
-	// one of the same request leaves the processor to it.
+	// waitQuantile is the fraction of the waits that a window is judged by. Most waits are short in any case: a goroutine that hands over to
+	// another one of the same request leaves the processor to it.
 	waitQuantile = 0.9
-	// ShortWait is the wait for the processor from which a process is short of it. A call to another host takes about ten waits at both
-	// ends, and ends after 500 ms (package watch) without an answer.
-	ShortWait = 50 * time.Millisecond
+	// longWait is the wait from which the processor is the bottleneck. A request waits about ten times, so that callers notice longer ones.
+	longWait = 10 * time.Millisecond
+	// shortWait is the wait from which a process is short of processor time even if it refuses nothing. A call to another host takes about
+	// ten waits at both ends, and ends without an answer after 500 ms (package watch).
+	shortWait = 50 * time.Millisecond
+	// maxReady is the number of goroutines for each processor that may wait for it while it is the bottleneck. Each of the smallest hosts, with
+	// a fiftieth of a processor, needs about 50 ms for them.
+	maxReady = 32
+	// bottleneckTime is for how long after a long wait the processor counts as the bottleneck. While requests are refused the waits are short,
+	// and the callers of these requests come again within about that time.
+	bottleneckTime = time.Second
 )
 
-// Meter measures how long goroutines wait for the processor. Its methods may be called at any time by any goroutine: a process that is short
-// of processor time can't rely on a goroutine that measures regularly.
+// Meter measures how long goroutines wait for the processor. Its methods may be called by any goroutine: a process that is short of processor
+// time can't rely on a goroutine that measures regularly.
 type Meter struct {
-	read func() histogram
-	// wait is the result of the last window, in nanoseconds; measuredAt is when that ended, and shortAt when the last window ended in which
-	// the process was short of processor time, in nanoseconds since start.
-	wait, measuredAt, shortAt atomic.Int64
-	start                     time.Time
+	readWaits func() histogram
+	readReady func() int
+	maxReady  int
 
 	mu       sync.Mutex
 	previous []uint64
+	// windowStart is when the current window began, and wait the wait in the last one.
+	windowStart time.Time
+	wait        time.Duration
+	// longAt is when the last window with a long wait ended, and shortAt when this process was last short of processor time.
+	longAt, shortAt time.Time
 }
 
 // NewMeter returns a meter of this process.
-func NewMeter() *Meter { return newMeter(runtimeWaits(), time.Now()) }
+func NewMeter() *Meter {
+	return newMeter(runtimeWaits(), runtimeReady(), maxReady*runtime.GOMAXPROCS(0), time.Now())
+}
 
-func newMeter(read func() histogram, now time.Time) *Meter {
-	m := &Meter{read: read, start: now}
-	m.previous = append(m.previous, read().counts...)
-	m.shortAt.Store(-1)
-	return m
+func newMeter(readWaits func() histogram, readReady func() int, maxReady int, now time.Time) *Meter {
+	return &Meter{
+		readWaits: readWaits, readReady: readReady, maxReady: maxReady, windowStart: now,
+		previous: append([]uint64(nil), readWaits().counts...),
+	}
 }
 
-// Wait returns the time that nine of ten waits for the processor did not exceed in the last window. It ends a window that is long enough.
+// Wait returns the time that nine of ten waits for the processor did not exceed in the last window.
 func (m *Meter) Wait(now time.Time) time.Duration {
-	elapsed := now.Sub(m.start)
-	if elapsed-time.Duration(m.measuredAt.Load()) >= minWindow && m.mu.TryLock() {
-		defer m.mu.Unlock()
-		m.measure(elapsed)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.measure(now)
+	return m.wait
+}
+
+// Overloaded reports whether this process has more work than processor time at this moment, so that it should begin nothing that it can
+// refuse. The number of goroutines that are ready shows at once when work piles up and when it is done; that they wait for long, and are not just
+// many, shows a moment later.
+func (m *Meter) Overloaded(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.measure(now)
+	overloaded := within(bottleneckTime, m.longAt, now) && m.readReady() > m.maxReady
+	if overloaded {
+		m.shortAt = now
 	}
-	return time.Duration(m.wait.Load())
+	return overloaded
+}
+
+// ShortWithin reports whether this process was overloaded, or its goroutines waited for very long, at some moment of the given time before now.
+func (m *Meter) ShortWithin(before time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.measure(now)
+	return within(before, m.shortAt, now)
 }
 
-// measure ends the window if it has enough waits. m.mu must be held.
-func (m *Meter) measure(elapsed time.Duration) {
-	window := elapsed - time.Duration(m.measuredAt.Load())
-	if window < minWindow {
-		return // another goroutine has ended it
+// measure ends the window if it is long enough and has enough waits. m.mu must be held.
+func (m *Meter) measure(now time.Time) {
+	length := now.Sub(m.windowStart)
+	if length < minWindow {
+		return
 	}
-	now := m.read()
-	fresh, total := now.since(m.previous)
-	if total < minWaits && window < maxWindow {
+	waits := m.readWaits()
+	fresh, total := waits.since(m.previous)
+	if total < minWaits && length < maxWindow {
 		return
 	}
-	wait := time.Duration(0)
+	m.wait = 0
 	if total >= minWaits {
-		wait = fresh.quantile(waitQuantile, total)
+		m.wait = fresh.quantile(waitQuantile, total)
 	}
-	m.previous = append(m.previous[:0], now.counts...)
-	m.wait.Store(int64(wait))
-	m.measuredAt.Store(int64(elapsed))
-	if wait >= ShortWait {
-		m.shortAt.Store(int64(elapsed))
+	if m.wait >= longWait {
+		m.longAt = now
 	}
+	if m.wait >= shortWait {
+		m.shortAt = now
+	}
+	m.previous = append(m.previous[:0], waits.counts...)
+	m.windowStart = now
 }
 
-// ShortWithin reports whether this process was short of processor time at some moment of the given time before now.
-func (m *Meter) ShortWithin(before time.Duration, now time.Time) bool {
-	m.Wait(now)
-	at := m.shortAt.Load()
-	return at >= 0 && now.Sub(m.start)-time.Duration(at) <= before
+// within reports whether a moment, unless it is zero, was in the given time before now.
+func within(before time.Duration, at, now time.Time) bool {
+	return !at.IsZero() && now.Sub(at) <= before
 }
--- a/pkg/overload/meter_test.go
+++ b/pkg/overload/meter_test.go
@@ -2,44 +2,49 @@
 
 import (
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 )
 
-// scriptedWaits is a histogram to which a test adds waits.
-type scriptedWaits struct{ histogram }
+// scriptedProcess is a process whose waits and ready goroutines a test sets.
+type scriptedProcess struct {
+	histogram
+	ready int
+}
+
+const testMaxReady = 4
 
-func newScriptedWaits() *scriptedWaits {
-	return &scriptedWaits{histogram{make([]uint64, 4), []float64{0, 0.001, 0.01, 0.1, math.Inf(1)}}}
+func newScriptedProcess(now time.Time) (*scriptedProcess, *Meter) {
+	p := &scriptedProcess{histogram: histogram{make([]uint64, 4), []float64{0, 0.001, 0.01, 0.1, math.Inf(1)}}}
+	p.add(3, 1000) // before the meter starts
+	return p, newMeter(func() histogram { return p.histogram }, func() int { return p.ready }, testMaxReady, now)
 }
 
 // add adds n waits of at most 1 ms, 10 ms, 100 ms, or longer ones, by the index of their bucket.
-func (s *scriptedWaits) add(bucket int, n uint64) { s.counts[bucket] += n }
-
-func (s *scriptedWaits) read() histogram { return s.histogram }
+func (p *scriptedProcess) add(bucket int, n uint64) { p.counts[bucket] += n }
 
 // Guards against a host that doesn't notice that it is short of processor time, or takes a single long wait among short ones for it.
 func TestProcessIsShortOfTimeWhileGoroutinesWait(t *testing.T) {
 	is := is.New(t)
-	start := time.Now()
-	waits := newScriptedWaits()
-	waits.add(3, 1000) // before the start of the meter
-	m := newMeter(waits.read, start)
-	waits.add(0, 19)
-	waits.add(2, 1)
-	now := start.Add(minWindow)
+	now := time.Now()
+	p, m := newScriptedProcess(now)
+	p.add(0, 19)
+	p.add(2, 1)
+	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), time.Millisecond)
 	is.True(!m.ShortWithin(time.Minute, now))
 
-	waits.add(0, 16)
-	waits.add(2, 4)
+	p.add(0, 16)
+	p.add(2, 4)
 	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), 100*time.Millisecond)
 	is.True(m.ShortWithin(0, now))
 
-	waits.add(0, 20)
+	p.add(0, 20)
 	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), time.Millisecond)
 	is.True(!m.ShortWithin(0, now))
@@ -50,21 +55,78 @@
 func TestFewWaitsSayNothing(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	waits := newScriptedWaits()
-	m := newMeter(waits.read, start)
-	waits.add(3, minWaits-1)
+	p, m := newScriptedProcess(start)
+	p.add(3, minWaits-1)
 	is.Equal(m.Wait(start.Add(minWindow)), time.Duration(0))
-	waits.add(3, 1)
+	p.add(3, 1)
 	is.Equal(m.Wait(start.Add(2*minWindow)), 100*time.Millisecond)
-	waits.add(3, 1)
+	p.add(3, 1)
 	is.Equal(m.Wait(start.Add(3*minWindow)), 100*time.Millisecond)
 	is.Equal(m.Wait(start.Add(2*minWindow+maxWindow)), time.Duration(0))
 }
 
-// Guards against a meter that no longer understands the runtime: the metric is missing, or its buckets have another form.
+// Guards against a host that refuses a burst of requests for which it has the time, that refuses none of those for which it has not, or that goes
+// on refusing after it has caught up.
+func TestProcessIsOverloadedWhileManyWaitForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p, m := newScriptedProcess(now)
+	p.ready = 10 * testMaxReady
+	p.add(0, 100)
+	now = now.Add(minWindow)
+	is.True(!m.Overloaded(now)) // many, but they wait for 1 ms
+	is.True(!m.ShortWithin(time.Minute, now))
+
+	p.add(1, 100)
+	now = now.Add(minWindow)
+	is.True(m.Overloaded(now))
+	is.True(m.ShortWithin(0, now))
+	p.ready = testMaxReady
+	is.True(!m.Overloaded(now)) // caught up
+
+	p.ready = 10 * testMaxReady
+	p.add(0, 100)
+	is.True(m.Overloaded(now.Add(bottleneckTime)))
+	is.True(!m.Overloaded(now.Add(bottleneckTime + minWindow)))
+}
+
+// Guards against a meter that no longer understands the runtime: a metric is missing, or has another form.
 func TestMeterReadsTheRuntime(t *testing.T) {
 	is := is.New(t)
 	h := runtimeWaits()()
 	is.True(len(h.counts) > 0)
 	is.Equal(len(h.bounds), len(h.counts)+1)
+	is.True(runtimeReady()() >= 0)
+	is.True(!NewMeter().Overloaded(time.Now()))
+}
+
+// Guards against a host whose goroutines really wait for the processor, while the runtime's metrics or their reading don't show it.
+func TestWorkBeyondTheProcessorIsOverload(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const (
+		workers = 4 * maxReady
+		turns   = 25
+		turn    = time.Millisecond
+	)
+	m := NewMeter()
+	var work conc.WaitGroup
+	for range workers {
+		work.Go(func() {
+			for range turns {
+				for start := time.Now(); time.Since(start) < turn; {
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	overloaded := false
+	for range turns {
+		overloaded = m.Overloaded(time.Now()) || overloaded
+		runtime.Gosched() // until all workers had a turn
+	}
+	work.Wait()
+	is.True(overloaded)
+	is.True(m.Wait(time.Now()) >= longWait)
+	is.True(!m.Overloaded(time.Now()))
 }
--- a/pkg/overload/waits.go
+++ b/pkg/overload/waits.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// schedulingLatencies is the runtime's metric of the time for which goroutines were ready to run before they ran.
-const schedulingLatencies = "/sched/latencies:seconds"
+// Metrics of the runtime.
+const (
+	// schedulingLatencies is the time for which goroutines were ready to run before they ran.
+	schedulingLatencies = "/sched/latencies:seconds"
+	// readyGoroutines is the number of goroutines that are ready to run and do not run.
+	readyGoroutines = "/sched/goroutines/runnable:goroutines"
+)
 
 // histogram counts the waits of goroutines for the processor since the start of the process.
 type histogram struct {
@@ -26,6 +31,15 @@
 	}
 }
 
+// runtimeReady returns a function that reads the number of goroutines that wait for the processor.
+func runtimeReady() func() int {
+	return func() int {
+		sample := [1]metrics.Sample{{Name: readyGoroutines}}
+		metrics.Read(sample[:])
+		return int(sample[0].Value.Uint64())
+	}
+}
+
 // since returns the waits of h that are not in an earlier histogram, and their number.
 func (h histogram) since(earlier []uint64) (fresh histogram, total uint64) {
 	fresh = histogram{make([]uint64, len(h.counts)), h.bounds}
