--- a/pkg/membership/summary.go
+++ b/pkg/membership/summary.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
-	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 )
 
 // remoteDomain is the last summary of another failure domain and its liveness.
@@ -113,30 +112,21 @@
 // Relays returns the relays of a failure domain in order of rank, from members that are not dead. If all hosts of the domain are
 // leaving, leaving hosts are relays: otherwise no host would inform the other failure domains.
 func Relays(members []Member, failureDomain string) []Member {
-	byName := map[string]Member{}
-	var hosts, leaving []string
+	var staying, leaving []Member
 	for _, m := range members {
 		switch {
 		case m.FailureDomain != failureDomain:
-			continue
 		case m.State == StateLeaving:
-			leaving = append(leaving, m.Host)
+			leaving = append(leaving, m)
 		default:
-			hosts = append(hosts, m.Host)
+			staying = append(staying, m)
 		}
-		byName[m.Host] = m
 	}
-	if len(hosts) == 0 {
-		hosts = leaving
+	if len(staying) == 0 {
+		staying = leaving
 	}
-	var list []Member
-	for _, host := range rendezvous.Rank("relay/"+failureDomain, hosts) {
-		list = append(list, byName[host])
-		if len(list) == relaysPerDomain {
-			break
-		}
-	}
-	return list
+	ranked := RankForDuty("relay/"+failureDomain, staying)
+	return ranked[:min(len(ranked), relaysPerDomain)]
 }
 
 func (v *snapshot) relays(failureDomain string) []Member { return Relays(v.all, failureDomain) }
