--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,13 +18,12 @@
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/peer"
-	"github.com/rattanhitch/rattanhitch/pkg/rendezvous"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
 const (
-	// readerKey is the rendezvous hash key that selects the reader of a dispatch domain, and the place reader of each place. The reader
-	// ranks highest of all hosts and is therefore the place reader of its own place.
+	// readerKey is the key by which the reader of a dispatch domain, and the place reader of each place, are ranked. The reader ranks first
+	// of all hosts and is therefore the place reader of its own place.
 	readerKey = "watch/reader"
 	// fetchInterval is the time between two polls of the reader or the place reader.
 	fetchInterval = 300 * time.Millisecond
@@ -145,18 +143,13 @@
 	return f.reader()
 }
 
-// ownerOf returns the host that ranks highest for readerKey; ok is false if there is none.
+// ownerOf returns the host that ranks first for readerKey; ok is false if there is none.
 func ownerOf(members []membership.Member) (owner membership.Member, ok bool) {
-	names := make([]string, len(members))
-	for i, m := range members {
-		names[i] = m.Host
-	}
-	name := rendezvous.Owner(readerKey, names)
-	i := slices.Index(names, name)
-	if i < 0 {
+	ranked := membership.RankForDuty(readerKey, members)
+	if len(ranked) == 0 {
 		return membership.Member{}, false
 	}
-	return members[i], true
+	return ranked[0], true
 }
 
 func membersByPlace(members []membership.Member) map[string][]membership.Member {
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -318,3 +319,23 @@
 		}
 	})
 }
+
+// Guards against a host with little processor time that reads for all hosts of a region, or passes messages on to all of a place: while its own
+// requests keep it busy, none of them gets a new configuration in time.
+func TestReadersAreStrongHosts(t *testing.T) {
+	is := is.New(t)
+	var members []membership.Member
+	for i := range 40 {
+		members = append(members, membership.Member{Host: "h" + strconv.Itoa(i), Place: []string{"p", "q"}[i%2], Capacity: 112})
+	}
+	members[6].Capacity, members[7].Capacity = 800, 800
+	reader, ok := ownerOf(members)
+	is.True(ok)
+	is.Equal(reader.Capacity, uint32(800))
+	for _, list := range membersByPlace(members) {
+		owner, _ := ownerOf(list)
+		is.Equal(owner.Capacity, uint32(800))
+	}
+	_, ok = ownerOf(nil)
+	is.True(!ok)
+}
