--- a/pkg/lookup/index.go
+++ b/pkg/lookup/index.go
@@ -35,7 +35,7 @@
 
 type host struct {
 	hash uint64
-	// lastResort is set for a host that is suspect or reaches no target.
+	// lastResort is set for a host that is suspect, reaches no target or has no processor time for requests.
 	lastResort bool
 	// encoded is the host's entry in a response, a Host in JSON.
 	encoded []byte
@@ -90,7 +90,7 @@
 		if err != nil {
 			continue
 		}
-		lastResort := m.State == membership.StateSuspect || m.TargetsUnreachable
+		lastResort := m.State == membership.StateSuspect || m.TargetsUnreachable || m.Overloaded
 		d.hosts = append(d.hosts, host{xxhash.Sum64String(m.Host), lastResort, encoded})
 	}
 	slices.SortFunc(domains, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
--- a/pkg/lookup/lookup.go
+++ b/pkg/lookup/lookup.go
@@ -69,8 +69,8 @@
 // sorted list of failure domain names in the configuration; if the block or the site is unknown, this host's failure domain
 // is used instead. Hosts are listed in this order: those of the site's failure domain, of its region, of this host's region,
 // and all others. Within a failure domain, rendezvous hashing of the block determines the order: it is the same at every entry
-// host, and it differs between blocks, so that the hosts share the callers evenly. Suspect hosts, and those that reach no target, follow
-// the others of their failure domain. Leaving, dead and drained hosts are omitted.
+// host, and it differs between blocks, so that the hosts share the callers evenly. Suspect hosts, and those that reach no target or have no
+// processor time, follow the others of their failure domain. Leaving, dead and drained hosts are omitted.
 type Handler struct {
 	Options
 	ttl          int
--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -19,54 +19,90 @@
 	Homes []string
 }
 
-// Nearest returns up to limit hosts for a caller, which picks one of them at random. They are the alive hosts of its failure domain if there
-// are at least minNearby, or else those of its region.
+// Nearest returns up to limit hosts for a caller, which picks one of them at random. They are the usable hosts of its failure domain if these
+// suffice, or else those of its region.
 //
 // A single host of the region is enough for a caller whose requests have homes, because its requests must not leave them; without a host in
-// its region, it gets the hosts of the home regions. Any other caller gets a few hosts of other regions as well, as many as minNearby
-// asks for: it would send most of its requests there if all were named.
+// its region, it gets the hosts of the home regions, and overloaded hosts in either rather than others. Any other caller gets a few hosts of other
+// regions as well, as many as are missing: it would send most of its requests there if all were named.
 //
-// Hosts that reach no target are named last, because requests through them take longer: only with all alive and suspect hosts, when there
-// are not enough others. Leaving and dead hosts are never returned. The order is random, weighted by the processor time (Capacity) of
-// the hosts, so that larger hosts get more callers.
+// Hosts that reach no target, and overloaded ones, are named last, because requests through them take longer or are refused: only with all alive
+// and suspect hosts, when there are not enough others. Leaving and dead hosts are never returned. The order is random, weighted by the
+// processor time (Capacity) of the hosts, so that larger hosts get more callers.
 func Nearest(members []membership.Member, caller Caller, limit int) []membership.Member {
 	return pick(candidates(members, caller), limit)
 }
 
 // candidates returns the hosts from which Nearest picks.
 func candidates(members []membership.Member, caller Caller) []membership.Member {
-	place := usable(members, func(m membership.Member) bool { return m.Place == caller.Place })
-	if len(place) >= minNearby {
-		return place
+	place := newGroup(members, func(m membership.Member) bool { return m.Place == caller.Place })
+	if place.suffices() {
+		return place.usable
 	}
-	near := usable(members, caller.isNear)
-	if len(near) >= minNearby || len(near) > 0 && len(caller.Homes) > 0 {
-		return near
+	near := newGroup(members, caller.isNear)
+	if near.suffices() {
+		return near.usable
 	}
-	if home := usable(members, caller.isHome); len(home) > 0 {
-		return home
+	if len(caller.Homes) > 0 {
+		home := newGroup(members, caller.isHome)
+		for _, list := range [][]membership.Member{near.usable, home.usable, near.overloaded, home.overloaded} {
+			if len(list) > 0 {
+				return list
+			}
+		}
 	}
-	far := usable(members, func(m membership.Member) bool { return !caller.isNear(m) })
+	far := newGroup(members, func(m membership.Member) bool { return !caller.isNear(m) })
 	switch {
-	case len(near)+len(far) < minNearby:
+	case len(near.usable)+len(far.usable) < minNearby:
 		return filter(members, func(m membership.Member) bool {
 			return m.State == membership.StateAlive || m.State == membership.StateSuspect
 		})
-	case len(near) == 0:
-		return far
+	case len(near.usable) == 0:
+		return far.usable
 	}
-	return append(near, pick(far, minNearby-len(near))...)
+	return near.supplement(far.usable)
 }
 
-func (c Caller) isNear(m membership.Member) bool { return m.Region == c.Region }
+// group holds the hosts of a failure domain or a region that can be named.
+type group struct{ usable, overloaded []membership.Member }
 
-func (c Caller) isHome(m membership.Member) bool { return slices.Contains(c.Homes, m.Region) }
+func newGroup(members []membership.Member, contains func(membership.Member) bool) group {
+	return group{
+		usable: filter(members, func(m membership.Member) bool { return contains(m) && m.IsUsable() }),
+		overloaded: filter(members, func(m membership.Member) bool {
+			return contains(m) && m.State == membership.StateAlive && m.Overloaded
+		}),
+	}
+}
 
-// usable returns the alive members that reach targets and for which keep returns true.
-func usable(members []membership.Member, keep func(membership.Member) bool) []membership.Member {
-	return filter(members, func(m membership.Member) bool { return m.IsUsable() && keep(m) })
+// suffices reports whether a group has at least minNearby usable hosts, with the processor time to take over the callers of its overloaded ones.
+func (g group) suffices() bool {
+	return len(g.usable) >= minNearby && processorTime(g.usable) >= processorTime(g.overloaded)
+}
+
+// supplement returns the usable hosts of the group and, in random order, as many others as it takes to suffice.
+func (g group) supplement(others []membership.Member) []membership.Member {
+	list := group{g.usable, g.overloaded}
+	for _, m := range pick(others, len(others)) {
+		if list.suffices() {
+			break
+		}
+		list.usable = append(list.usable, m)
+	}
+	return list.usable
 }
 
+func processorTime(members []membership.Member) (sum float64) {
+	for _, m := range members {
+		sum += m.ProcessorTime()
+	}
+	return sum
+}
+
+func (c Caller) isNear(m membership.Member) bool { return m.Region == c.Region }
+
+func (c Caller) isHome(m membership.Member) bool { return slices.Contains(c.Homes, m.Region) }
+
 func filter(members []membership.Member, keep func(membership.Member) bool) []membership.Member {
 	var list []membership.Member
 	for _, m := range members {
--- a/pkg/lookup/nearest_test.go
+++ b/pkg/lookup/nearest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -118,3 +119,47 @@
 		is.Equal(m.Place, "b")
 	}
 }
+
+// overloaded returns hosts of a failure domain without processor time for requests.
+func overloaded(place, region string, n int) []membership.Member {
+	list := testHosts(place, region, n, membership.StateAlive)
+	for i := range list {
+		list[i].Overloaded = true
+	}
+	return list
+}
+
+// Guards against callers that are sent to hosts which refuse their requests for want of processor time while others have it, against all callers
+// of an overloaded failure domain at a few hosts that are overloaded next, and against an empty result if all are.
+func TestOverloadedHostsAreRelieved(t *testing.T) {
+	idle := func(place, region string, n int) []membership.Member {
+		return testHosts(place, region, n, membership.StateAlive)
+	}
+	for _, c := range []struct {
+		name  string
+		hosts [][]membership.Member
+		homes []string
+		// want is the number of hosts by failure domain that are named.
+		want map[string]int
+	}{
+		{"half of the failure domain", [][]membership.Member{overloaded("a", "north", 2), idle("a", "north", 3)[2:], idle("b", "north", 4)}, nil,
+			map[string]int{"a": 1, "b": 4}},
+		{"few of the failure domain", [][]membership.Member{overloaded("a", "north", 1), idle("a", "north", 4)[1:], idle("b", "north", 4)}, nil, map[string]int{"a": 3}},
+		{"the failure domain", [][]membership.Member{overloaded("a", "north", 4), idle("b", "north", 4), idle("c", "south", 4)}, nil, map[string]int{"b": 4}},
+		{"most of the region", [][]membership.Member{overloaded("a", "north", 4), idle("b", "north", 2), idle("c", "south", 9)}, nil, map[string]int{"b": 2, "c": 2}},
+		{"the region", [][]membership.Member{overloaded("a", "north", 4), idle("c", "south", 9)}, nil, map[string]int{"c": 9}},
+		{"the region, with homes", [][]membership.Member{overloaded("a", "north", 2), idle("c", "south", 4)}, []string{"north"}, map[string]int{"a": 2}},
+		{"the region, with homes elsewhere", [][]membership.Member{overloaded("a", "north", 2), idle("c", "south", 4), idle("d", "west", 4)}, []string{"south"},
+			map[string]int{"c": 4}},
+		{"all", [][]membership.Member{overloaded("a", "north", 2), overloaded("c", "south", 2)}, nil, map[string]int{"a": 2, "c": 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := map[string]int{}
+			for _, m := range Nearest(slices.Concat(c.hosts...), Caller{Place: "a", Region: "north", Homes: c.homes}, 20) {
+				got[m.Place]++
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/pkg/membership/duty_test.go
+++ b/pkg/membership/duty_test.go
@@ -86,3 +86,19 @@
 		is.Equal(len(Relays(members, "another")), 0)
 	}
 }
+
+// Guards against a duty that stays at a host without processor time while others have some.
+func TestDutiesLeaveOverloadedHosts(t *testing.T) {
+	is := is.New(t)
+	members := membersOfPlaces()
+	for range 4 {
+		owner := RankForDuty("duty", members)[0]
+		is.Equal(owner.Capacity, uint32(800))
+		for i := range members {
+			members[i].Overloaded = members[i].Overloaded || members[i].Host == owner.Host
+		}
+	}
+	owner := RankForDuty("duty", members)[0]
+	is.Equal(owner.Capacity, uint32(112))
+	is.True(!owner.Overloaded)
+}
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -68,7 +68,7 @@
 		Host: r.Host, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, Place: r.Place, Region: r.Region,
 		PeerAddress: r.PeerAddress, CallerAddress: r.CallerAddress, OperatorAddress: r.OperatorAddress,
 		Leaving: r.State == StateLeaving, Capacity: r.Capacity, Version: r.version, State: peerv1.MemberState(r.State),
-		TargetsUnreachable: r.TargetsUnreachable,
+		TargetsUnreachable: r.TargetsUnreachable, Overloaded: r.Overloaded,
 	}
 	if r.State == StateSuspect || r.State == StateDead {
 		m.Held = encodeHeld(r.held, now)
@@ -80,7 +80,7 @@
 	return Member{
 		Host: m.GetHost(), Incarnation: m.GetIncarnation(), FailureDomain: m.GetFailureDomain(), Place: m.GetPlace(), Region: m.GetRegion(),
 		PeerAddress: m.GetPeerAddress(), CallerAddress: m.GetCallerAddress(), OperatorAddress: m.GetOperatorAddress(),
-		Capacity: m.GetCapacity(), TargetsUnreachable: m.GetTargetsUnreachable(), State: State(m.GetState()),
+		Capacity: m.GetCapacity(), TargetsUnreachable: m.GetTargetsUnreachable(), Overloaded: m.GetOverloaded(), State: State(m.GetState()),
 	}
 }
 
--- a/pkg/membership/tracker.go
+++ b/pkg/membership/tracker.go
@@ -178,13 +178,24 @@
 
 // SetTargetsUnreachable sets whether this host reaches no target, and spreads a change to the other hosts.
 func (t *Tracker) SetTargetsUnreachable(unreachable bool) {
+	t.setOwnState(func(self *Member) { self.TargetsUnreachable = unreachable })
+}
+
+// SetOverloaded sets whether this host has more work than processor time, and spreads a change to the other hosts.
+func (t *Tracker) SetOverloaded(overloaded bool) {
+	t.setOwnState(func(self *Member) { self.Overloaded = overloaded })
+}
+
+// setOwnState changes the record of this host, and spreads it to the other hosts if it differs from the previous one.
+func (t *Tracker) setOwnState(change func(self *Member)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	self := t.selfRecord()
-	if self.TargetsUnreachable == unreachable {
+	previous := self.Member
+	change(&self.Member)
+	if self.Member == previous {
 		return
 	}
-	self.TargetsUnreachable = unreachable
 	self.version++
 	t.publish()
 	t.queueUpdate(self.Host)
--- a/pkg/overload/module.go
+++ b/pkg/overload/module.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/sleep"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
+	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
 )
 
@@ -20,21 +21,22 @@
 	// reportInterval is the time between two looks at the meter for the metrics, the log and the other hosts.
 	reportInterval = 100 * time.Millisecond
 	// recoveryTime is for how long a process must have enough processor time before it counts as having enough again. Hysteresis keeps
-	// its callers from going and coming with every window.
-	recoveryTime = time.Second
+	// its callers, who look up hosts every few seconds, from going and coming, and limits the changes that spread to all hosts.
+	recoveryTime = 3 * time.Second
 )
 
 func init() {
-	kernel.Register(kernel.Info{ID: ModuleID, After: []string{telemetry.ModuleID}, New: func() kernel.Module { return &Module{} }})
+	kernel.Register(kernel.Info{ID: ModuleID, After: []string{telemetry.ModuleID, membership.ModuleID}, New: func() kernel.Module { return &Module{} }})
 }
 
 // Module is the kernel module that owns the meter of the daemon.
 type Module struct {
-	Meter  *Meter
-	wait   tally.Gauge
-	short  bool
-	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	Meter   *Meter
+	members *membership.Module
+	wait    tally.Gauge
+	short   bool
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
 }
 
 var _ kernel.Module = (*Module)(nil)
@@ -42,7 +44,7 @@
 // Provision creates the meter and its metrics.
 func (m *Module) Provision(app *kernel.App) error {
 	var scope *telemetry.Module
-	if err := kernel.Bind(app, kernel.To(&scope, telemetry.ModuleID)); err != nil {
+	if err := kernel.Bind(app, kernel.To(&scope, telemetry.ModuleID), kernel.To(&m.members, membership.ModuleID)); err != nil {
 		return err
 	}
 	m.Meter = NewMeter()
@@ -64,7 +66,7 @@
 	return nil
 }
 
-// report updates the metrics, and logs when a shortage of processor time begins or ends.
+// report updates the metrics, and tells operators and the other hosts when a shortage of processor time begins or ends.
 func (m *Module) report(now time.Time) {
 	wait := m.Meter.Wait(now)
 	m.wait.Update(wait.Seconds())
@@ -73,6 +75,7 @@
 		return
 	}
 	m.short = short
+	m.members.Tracker.SetOverloaded(short)
 	log.Info().Str("step", "overload").Bool("short_of_processor_time", short).Dur("wait", wait).Msg("processor time changed")
 }
 
--- a/pkg/steering/steerer_test.go
+++ b/pkg/steering/steerer_test.go
@@ -10,7 +10,8 @@
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 )
 
-// Guards against requests that are forwarded to a host which reaches no target while another one does.
+// Guards against requests that are forwarded to a host which reaches no target, or refuses them for want of processor time, while another one
+// does neither.
 func TestHostsThatReachTargetsArePreferred(t *testing.T) {
 	is := is.New(t)
 	cutOff := membership.Member{Host: "cut-off", TargetsUnreachable: true}
@@ -19,6 +20,8 @@
 	is.Equal(preferUsable([]membership.Member{cutOff, suspect, usable}), []membership.Member{usable})
 	is.Equal(preferUsable([]membership.Member{cutOff, suspect}), []membership.Member{cutOff})
 	is.Equal(preferUsable([]membership.Member{suspect}), []membership.Member{suspect})
+	overloaded := membership.Member{Host: "overloaded", Overloaded: true}
+	is.Equal(preferUsable([]membership.Member{overloaded, usable}), []membership.Member{usable})
 }
 
 // selfView is a membership view that knows only this host.
