--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -89,6 +89,7 @@
 		req.Positions = append(req.Positions, &peerv1.WatchedPosition{Table: t.name, Version: t.position()})
 	}
 	resp := &peerv1.WatchedTablesResponse{}
+	sent := time.Now()
 	if err := f.opts.Caller.Call(ctx, host.Address(), methodFetch, req, resp); err != nil {
 		f.opts.Scope.Counter("ask_failures").Inc(1)
 		return
@@ -97,7 +98,9 @@
 	now := time.Now()
 	for _, m := range resp.GetTables() {
 		if t := f.table(m.GetTable()); t != nil {
-			t.merge(decodeUpdate(m, host.Host), now)
+			u := decodeUpdate(m, host.Host)
+			u.took = now.Sub(sent)
+			t.merge(u, now)
 		}
 	}
 }
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -164,8 +164,9 @@
 	// restored is set if the platform was restored from a copy, so that rows may be older than the local ones in spite of their
 	// versions. Their writers write them again.
 	restored bool
-	// age is the time since the rows were read from the platform.
-	age time.Duration
+	// age is the time for which the rows were out of date at most when they were sent, and took the time between the request and their
+	// arrival in which they were sent.
+	age, took time.Duration
 	// sinceRecovery is the time since the end of the last outage; 0 if it is longer ago than expiryGrace.
 	sinceRecovery time.Duration
 	// from is the host that sent the rows, empty if this host read them from the platform itself.
@@ -200,7 +201,7 @@
 	firstRead := t.version == 0 && u.version > 0
 	if u.version >= t.version {
 		t.version = u.version
-		if at := now.Add(-u.age); at.After(t.readAt) {
+		if at := now.Add(-u.age - u.took); at.After(t.readAt) {
 			t.readAt = at
 		}
 	}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -196,11 +196,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(readTimeout, wait+waitMargin))
 	defer cancel()
+	sent := time.Now()
 	u, err := f.fetchUpdate(ctx, t, after, wait)
 	if err != nil {
 		return steperr.Wrap(err, "read table "+t.name, "")
 	}
 	now := time.Now()
+	u.took = answerDelay(now.Sub(sent), wait, len(u.rows) > 0)
 	if u.restored || !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
 		u.sinceRecovery = time.Millisecond
 	}
@@ -218,6 +220,15 @@
 	return nil
 }
 
+// answerDelay returns the time in which the platform has sent its answer to a read that took some time. If a long poll has found a change it was at
+// most as long ago as this host handles answers late, which is not known; it counts as none.
+func answerDelay(took, wait time.Duration, changed bool) time.Duration {
+	if changed && wait > 0 {
+		return 0
+	}
+	return max(0, took-wait)
+}
+
 // fetchUpdate reads the changes of a table after a version, or all of it if there is no copy, the history was lost, the platform was
 // restored from a copy, or that was expiryGrace ago.
 func (f *Follower) fetchUpdate(ctx context.Context, t *followedTable, after uint64, wait time.Duration) (u update, err error) {
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -26,6 +26,8 @@
 	reads   int
 	// restoredAt is the version from which versions are counted since the feed was restored from a copy.
 	restoredAt uint64
+	// answerDelay is the time after which answers arrive.
+	answerDelay time.Duration
 }
 
 // restore makes the feed go back to its rows up to a version, under higher versions.
@@ -83,6 +85,7 @@
 		time.Sleep(wait)
 		rows, version, err = r.read(after)
 	}
+	time.Sleep(r.answerDelay)
 	return rows, version, err
 }
 
@@ -95,6 +98,8 @@
 	down string
 	// crossings counts the calls between places.
 	crossings int
+	// answerDelay is the time after which answers arrive.
+	answerDelay time.Duration
 }
 
 // count counts a call and returns an error if its receiver is down.
@@ -135,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	time.Sleep(n.answerDelay)
 	proto.Merge(resp, answer)
 	return nil
 }
@@ -339,3 +345,42 @@
 	_, ok = ownerOf(nil)
 	is.True(!ok)
 }
+
+// Guards against a copy that seems fresh because its host handles answers late: the age counts from when the answer was sent.
+func TestLateAnswersAreOld(t *testing.T) {
+	const delay = 200 * time.Millisecond
+	for _, c := range []struct {
+		name           string
+		network, store time.Duration
+	}{{"from a host", delay, 0}, {"from the platform", 0, delay}} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				f := &feed{answerDelay: c.store}
+				f.put("a", "1")
+				n := &network{handlers: map[string]map[string]peer.Handler{}, answerDelay: c.network}
+				tables, _ := startFollowersOn(t, n, f, "h1", "h2")
+				time.Sleep(5 * time.Second)
+				late := 0
+				for _, table := range tables {
+					if youngest(table) >= delay {
+						late++
+					}
+				}
+				if want := 1 + int(c.store/delay); late != want {
+					t.Errorf("%d copies are as old as their answers are late, want %d", late, want)
+				}
+			})
+		})
+	}
+}
+
+// youngest returns the smallest age of a copy within two seconds.
+func youngest(table *Table) time.Duration {
+	smallest := time.Hour
+	for range 200 {
+		age, _ := table.Age(time.Now())
+		smallest = min(smallest, age)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return smallest
+}
