--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -51,13 +51,15 @@
 	// InFlight returns the number of callers' requests in flight. The module frontend sets it in its Provision. The frontend is
 	// cleaned up before this module, so operators can watch the drain of a stop.
 	InFlight func() int
-	router   *httprouter.Router
-	conf     *config.Module
-	members  *membership.Module
-	listener net.Listener
-	server   *http.Server
-	tasks    conc.WaitGroup
-	started  bool
+	// ConfigOutdated reports whether this host refuses requests because it is behind with its configuration. The module frontend sets it, too.
+	ConfigOutdated func(now time.Time) bool
+	router         *httprouter.Router
+	conf           *config.Module
+	members        *membership.Module
+	listener       net.Listener
+	server         *http.Server
+	tasks          conc.WaitGroup
+	started        bool
 }
 
 var _ kernel.Module = (*Module)(nil)
@@ -74,6 +76,7 @@
 		return err
 	}
 	m.InFlight = func() int { return 0 }
+	m.ConfigOutdated = func(time.Time) bool { return false }
 	m.router = httprouter.New()
 	m.router.Handler(http.MethodGet, "/metrics", scope.Handler())
 	registerProfiles(m.router)
@@ -172,7 +175,8 @@
 	InFlight      int    `json:"in_flight,omitempty"`
 }
 
-// ready is the handler of /readyz. It responds with 503 until a configuration is in force and while the host is leaving.
+// ready is the handler of /readyz. It responds with 503 until a configuration is in force, while the host is leaving, and while it refuses requests
+// because it is behind with its configuration.
 func (m *Module) ready(w http.ResponseWriter, _ *http.Request) {
 	h := health{
 		Status:        "ready",
@@ -187,9 +191,9 @@
 	writeJSON(w, status, h)
 }
 
-// Ready reports whether a configuration is in force and the host is not leaving.
+// Ready reports whether a configuration is in force, this host can decide by it, and it is not leaving.
 func (m *Module) Ready() bool {
-	return m.loaded() && m.members.Tracker.Self().State != membership.StateLeaving
+	return m.loaded() && !m.ConfigOutdated(time.Now()) && m.members.Tracker.Self().State != membership.StateLeaving
 }
 
 func (m *Module) loaded() bool {
--- a/pkg/config/module.go
+++ b/pkg/config/module.go
@@ -85,6 +85,15 @@
 	return m.source.Age(now)
 }
 
+// Lag returns the time for which the configuration in force may have been behind what this host could learn from others. ok is false if that is not
+// known.
+func (m *Module) Lag(now time.Time) (lag time.Duration, ok bool) {
+	if m.source == nil {
+		return 0, false
+	}
+	return m.source.Lag(now)
+}
+
 // Validate implements kernel.Module. There is nothing to check.
 func (m *Module) Validate() error { return nil }
 
--- a/pkg/config/source.go
+++ b/pkg/config/source.go
@@ -21,6 +21,9 @@
 	Run(ctx context.Context, store *Store)
 	// Age returns the time for which the snapshot in force may have been out of date. ok is false before the first one.
 	Age(now time.Time) (age time.Duration, ok bool)
+	// Lag returns the time for which the snapshot in force may have been behind what this host could learn from others. ok is false before
+	// the first one.
+	Lag(now time.Time) (lag time.Duration, ok bool)
 }
 
 // Opener opens a source. It is called while the module config is provisioned and may use the modules platform, peer and
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -61,6 +61,20 @@
 
 func (directPaths) Observe(context.Context, string, bool) {}
 
+// Load tells whether this host has the processor time for its work.
+type Load interface {
+	// Overloaded reports whether there is more work than processor time at a moment, so that the host refuses what comes.
+	Overloaded(now time.Time) bool
+	// ShortWithin reports whether there was not enough processor time at some moment of the given time before now.
+	ShortWithin(before time.Duration, now time.Time) bool
+}
+
+// idle is the load of a host that always has enough processor time.
+type idle struct{}
+
+func (idle) Overloaded(time.Time) bool                 { return false }
+func (idle) ShortWithin(time.Duration, time.Time) bool { return false }
+
 // Limits are the limits of requests. A zero field selects its default.
 type Limits struct {
 	// MaxHeaderBytes limits the header of a request. http.Server.MaxHeaderBytes must be larger, so that this package refuses the
@@ -111,13 +125,16 @@
 	// ConfigAge returns the time for which the configuration in force may have been out of date; ok is false if that is not known. It may
 	// be nil.
 	ConfigAge func(now time.Time) (age time.Duration, ok bool)
-	// Overloaded reports whether this host has more work than processor time at a moment, so that it refuses what comes. It may be nil.
-	Overloaded func(now time.Time) bool
-	Recorder   Recorder
-	Pacer      Pacer
-	Scope      tally.Scope
-	Self       peer.Identity
-	Limits     Limits
+	// ConfigLag returns the time for which the configuration in force may have been behind what this host could learn from others; ok is false
+	// if that is not known. It may be nil.
+	ConfigLag func(now time.Time) (lag time.Duration, ok bool)
+	// Load tells whether this host has the processor time for its work; nil means that it always has.
+	Load     Load
+	Recorder Recorder
+	Pacer    Pacer
+	Scope    tally.Scope
+	Self     peer.Identity
+	Limits   Limits
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -152,8 +169,11 @@
 	if opts.ConfigAge == nil {
 		opts.ConfigAge = func(time.Time) (time.Duration, bool) { return 0, false }
 	}
-	if opts.Overloaded == nil {
-		opts.Overloaded = func(time.Time) bool { return false }
+	if opts.ConfigLag == nil {
+		opts.ConfigLag = func(time.Time) (time.Duration, bool) { return 0, false }
+	}
+	if opts.Load == nil {
+		opts.Load = idle{}
 	}
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
@@ -201,7 +221,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from *origin) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.opts.Overloaded(time.Now()) {
+	if h.opts.Load.Overloaded(time.Now()) {
 		h.refuseOverloaded(w, r, from)
 		return
 	}
--- a/pkg/entry/overload.go
+++ b/pkg/entry/overload.go
@@ -13,6 +13,12 @@
 	// maxDiscardedBody is the size in bytes up to which net/http reads the body of a refused request, so that the connection can be kept:
 	// callers that must connect again cost more processor time than the refusal. Bodies of that size have mostly arrived with the header.
 	maxDiscardedBody = 16 << 10
+	// maxConfigLag is the lag of its configuration from which a host without processor time refuses requests. An accepted configuration is
+	// in force everywhere within 3 s; the rest is for requests that arrived earlier than they are handled.
+	maxConfigLag = 2 * time.Second
+	// catchUpTime is for how long after a shortage of processor time a lag is taken for a consequence of it. Later it is that of a host which is
+	// cut off, and which has to go on serving by the configuration that it has.
+	catchUpTime = 3 * time.Second
 )
 
 // refuseOverloaded refuses a request for which this host has no processor time. It does as little as it can, and writes no log line: what it
@@ -33,3 +39,10 @@
 	f.RetryAfter = overloadedRetryAfter
 	h.sendRefusal(w, rq, f)
 }
+
+// ConfigOutdated reports whether this host is behind with its configuration because it is short of processor time, so that it must not
+// decide by it. It knows neither which routes there are nor which targets leave, while other hosts do.
+func (h *Handler) ConfigOutdated(now time.Time) bool {
+	lag, known := h.opts.ConfigLag(now)
+	return known && lag > maxConfigLag && h.opts.Load.ShortWithin(catchUpTime, now)
+}
--- a/pkg/entry/overload_test.go
+++ b/pkg/entry/overload_test.go
@@ -16,12 +16,11 @@
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
-// switchOverload returns a function that sets whether the host of the options is overloaded.
-func switchOverload(o *Options) (set func(bool)) {
-	var overloaded atomic.Bool
-	o.Overloaded = func(time.Time) bool { return overloaded.Load() }
-	return overloaded.Store
-}
+// scriptedLoad is the load of a host that a test sets.
+type scriptedLoad struct{ overloaded, short atomic.Bool }
+
+func (l *scriptedLoad) Overloaded(time.Time) bool                 { return l.overloaded.Load() }
+func (l *scriptedLoad) ShortWithin(time.Duration, time.Time) bool { return l.short.Load() }
 
 // Guards against a host without processor time that accepts requests which it can't serve in time: they take the time from those that it has
 // accepted, and from the calls that keep its configuration up to date.
@@ -41,12 +40,12 @@
 		t.Run(c.method+c.url+strconv.Itoa(len(c.body)), func(t *testing.T) {
 			bubble.Run(t, func(t *testing.T) {
 				is := is.New(t)
-				var overload func(bool)
-				w := newFixture(t, 1, func(o *Options) { overload = switchOverload(o) })
+				load := &scriptedLoad{}
+				w := newFixture(t, 1, func(o *Options) { o.Load = load })
 				started := make(chan result, 1)
 				go func() { started <- w.do("GET", "/lookup/a?work=1s", "") }()
 				synctest.Wait()
-				overload(true)
+				load.overloaded.Store(true)
 				start := time.Now()
 				got := w.do(c.method, c.url, c.body, c.header...)
 				is.NoErr(got.err)
@@ -58,7 +57,7 @@
 				is.Equal(got.closing, c.closing)
 				is.Equal((<-started).body, target.Body("c1", 0)) // the request that was accepted before
 				is.Equal(w.targets[0].Report().Total, 1)
-				overload(false)
+				load.overloaded.Store(false)
 				is.Equal(w.do("GET", "/lookup/a", "").status, 200)
 			})
 		})
@@ -70,7 +69,9 @@
 	bubble.Run(t, func(t *testing.T) {
 		is := is.New(t)
 		first, second := redirectToSecond(t, addRules(newRule("/n/", "lookup", configv1.Repeat_REPEAT_AT_MOST_ONCE)), ruleStore())
-		second.handler.opts.Overloaded = func(time.Time) bool { return true }
+		load := &scriptedLoad{}
+		load.overloaded.Store(true)
+		second.handler.opts.Load = load
 		got := first.do("POST", "/n/a", "x")
 		is.NoErr(got.err)
 		is.Equal(got.status, 200)
@@ -79,3 +80,43 @@
 		is.Equal(second.targets[0].Report().Total+second.targets[1].Report().Total, 0)
 	})
 }
+
+// Guards against a host without processor time that answers by a configuration which other hosts have replaced: 404 for a route that was added, or
+// a target that leaves. A host that is cut off, and is not short of processor time, has to go on serving.
+func TestHostThatIsBehindForWantOfTimeDecidesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		short   bool
+		lag     time.Duration
+		unknown bool
+		url     string
+		status  int
+	}{
+		{"behind for want of time", true, maxConfigLag + 1, false, "/lookup/a", 503},
+		{"behind for want of time, unknown route", true, maxConfigLag + 1, false, "/nothing/a", 503},
+		{"short of time, up to date", true, maxConfigLag, false, "/lookup/a", 200},
+		{"cut off", false, time.Hour, false, "/lookup/a", 200},
+		{"lag not known", true, time.Hour, true, "/lookup/a", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				load := &scriptedLoad{}
+				load.short.Store(c.short)
+				w := newFixture(t, 1, func(o *Options) {
+					o.Load = load
+					o.ConfigLag = func(time.Time) (time.Duration, bool) { return c.lag, !c.unknown }
+				})
+				got := w.do("GET", c.url, "")
+				is.NoErr(got.err)
+				is.Equal(got.status, c.status)
+				if c.status == 503 {
+					is.Equal(got.header.Get(reply.HeaderReason), string(reply.ReasonNotReady))
+					is.Equal(got.header.Get(reply.HeaderOutcome), string(reply.NotRun))
+					is.Equal(got.header.Get(reply.HeaderRetryAfter), "1")
+					is.Equal(w.targets[0].Report().Total, 0)
+				}
+			})
+		})
+	}
+}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -9,13 +9,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rattanhitch/rattanhitch/pkg/config"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
-// notReadyRetryAfter is the Retry-After of refusals by a host that has not loaded a configuration yet. A host that starts has it after about
-// that time.
+// notReadyRetryAfter is the Retry-After of refusals by a host that has no configuration yet, or an outdated one. A host that starts has it after
+// about that time.
 const notReadyRetryAfter = time.Second
 
 // request is the state of one caller's request. It belongs to the goroutine that serves the request.
@@ -97,9 +98,7 @@
 	snap := h.opts.Store.Current()
 	rq.configVersion = snap.ReportedVersion()
 	rq.configAge, _ = h.opts.ConfigAge(rq.start)
-	if snap.Version == 0 {
-		f := refusal(http.StatusServiceUnavailable, reply.ReasonNotReady, "no configuration is loaded yet")
-		f.RetryAfter = notReadyRetryAfter
+	if f := h.checkConfig(snap, rq.start); f != nil {
 		return rq, f
 	}
 	if !rq.resolveService(snap, from) {
@@ -117,6 +116,22 @@
 	return rq, nil
 }
 
+// checkConfig returns the refusal of a request that can't be decided by the configuration of this host, or nil.
+func (h *Handler) checkConfig(snap *config.Snapshot, now time.Time) *reply.Refusal {
+	detail := ""
+	switch {
+	case snap.Version == 0:
+		detail = "no configuration is loaded yet"
+	case h.ConfigOutdated(now):
+		detail = "the configuration is out of date"
+	default:
+		return nil
+	}
+	f := refusal(http.StatusServiceUnavailable, reply.ReasonNotReady, detail)
+	f.RetryAfter = notReadyRetryAfter
+	return f
+}
+
 // atMostOnce reports whether the request must run at most once.
 func (rq *request) atMostOnce() bool {
 	if rq.rule != nil {
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -94,7 +94,7 @@
 	if err := m.provisionEntry(app, conf); err != nil {
 		return err
 	}
-	adminModule.InFlight = m.Entry.InFlight
+	adminModule.InFlight, adminModule.ConfigOutdated = m.Entry.InFlight, m.Entry.ConfigOutdated
 	lookupHandler := lookup.New(lookup.Options{
 		Members: m.members.Tracker, Config: conf.Store, Prefixes: prefix.NewStore(),
 		FailureDomain: m.settings.EffectiveDispatchDomain(), Region: m.settings.Region, TTL: m.settings.LookupTTL,
@@ -156,7 +156,8 @@
 		Paths:      m.tunnels,
 		Dialect:    requestDialect,
 		ConfigAge:  conf.Age,
-		Overloaded: load.Meter.Overloaded,
+		ConfigLag:  conf.Lag,
+		Load:       load.Meter,
 		Recorder:   burn.RequestRecorder{Recorder: counts.Recorder},
 		Pacer:      budgets.Pacer,
 		Scope:      scope.Scope,
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -42,6 +42,8 @@
 	recoveredAt time.Time
 	changed     chan struct{}
 	applied     applied
+	// exchangedAt is the latest time at which a host or the platform has told this host all that it knew.
+	exchangedAt time.Time
 }
 
 // applied is the state of the rows that Rows returned and SetInForce then confirmed.
@@ -49,8 +51,11 @@
 	// returnedAt is readAt, and returnedAll that no row has changed since, when Rows was called last.
 	returnedAt  time.Time
 	returnedAll bool
-	// behindAt is the time up to which the rows in force are up to date while newer ones are not in force yet, or zero.
-	behindAt time.Time
+	// behindAt is the time up to which the rows in force are up to date while newer ones are not in force yet, or zero. waitingSince is when
+	// the first of these arrived.
+	behindAt, waitingSince time.Time
+	// changedAt is when the first row changed after the last call of Rows.
+	changedAt time.Time
 }
 
 type row struct {
@@ -68,6 +73,24 @@
 	wasPresent bool
 }
 
+// note records that rows changed that Rows has not returned. readAt is the time up to which the rows before were up to date.
+func (a *applied) note(now, readAt time.Time) {
+	if a.returnedAll || a.changedAt.IsZero() {
+		a.changedAt = now
+	}
+	a.returnedAll = false
+	if a.behindAt.IsZero() {
+		a.behindAt, a.waitingSince = readAt, now
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func newTable(name string, equivalent func(a, b []byte) bool) *Table {
 	never := func(_, _ []byte) bool { return false }
 	return &Table{name: name, equivalent: equivalent, supersedes: never, rows: map[string]*row{}, changed: make(chan struct{})}
@@ -120,6 +143,9 @@
 	return t.changed
 }
 
+// Loaded reports whether the table has been read once.
+func (t *Table) Loaded() bool { return t.position() > 0 }
+
 // Age returns the time for which the copy may have been out of date. ok is false if the table was never read.
 func (t *Table) Age(now time.Time) (age time.Duration, ok bool) {
 	t.mu.Lock()
@@ -131,9 +157,9 @@
 func (t *Table) SetInForce() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applied.behindAt = time.Time{}
+	t.applied.behindAt, t.applied.waitingSince = time.Time{}, time.Time{}
 	if !t.applied.returnedAll {
-		t.applied.behindAt = t.applied.returnedAt
+		t.applied.behindAt, t.applied.waitingSince = t.applied.returnedAt, t.applied.changedAt
 	}
 }
 
@@ -148,6 +174,18 @@
 	return now.Sub(at), t.version > 0
 }
 
+// Lag returns the time for which this host may have been behind what other hosts and the platform could tell it: they have not answered since, or
+// their rows have not been in force since. Unlike the age it does not grow while the platform answers no host.
+func (t *Table) Lag(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lag := now.Sub(t.exchangedAt)
+	if waiting := t.applied.waitingSince; !waiting.IsZero() {
+		lag = max(lag, now.Sub(waiting))
+	}
+	return lag
+}
+
 // position returns the version up to which the table is complete; 0 if it was never read.
 func (t *Table) position() uint64 {
 	t.mu.Lock()
@@ -201,17 +239,13 @@
 	firstRead := t.version == 0 && u.version > 0
 	if u.version >= t.version {
 		t.version = u.version
-		if at := now.Add(-u.age - u.took); at.After(t.readAt) {
-			t.readAt = at
-		}
+		t.readAt = latest(t.readAt, now.Add(-u.age-u.took))
+		t.exchangedAt = latest(t.exchangedAt, now.Add(-u.took))
 	}
 	t.purgeTombstones(now)
 	// A peer may push all rows to a starting host before its first read. That read changes no row but completes the table.
 	if len(changed) > 0 || firstRead {
-		t.applied.returnedAll = false
-		if t.applied.behindAt.IsZero() {
-			t.applied.behindAt = previouslyReadAt
-		}
+		t.applied.note(now, previouslyReadAt)
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -285,3 +285,36 @@
 	table.SetInForce()
 	is.Equal(age(7), time.Second)
 }
+
+// Guards against a host that takes an outage of the platform for its own fault and refuses requests, and against one that does not notice that others
+// know more, or that it does not use what it knows.
+func TestLagIsTheTimeWithoutNewsFromOthers(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	table := newTable("t", equal)
+	lag := func(seconds int) time.Duration { return table.Lag(at(seconds)) }
+	apply := func(seconds int) {
+		table.Rows(at(seconds))
+		table.SetInForce()
+	}
+	table.merge(update{rows: []store.WatchedRow{put("a", "1", 5)}, version: 5, from: "h"}, at(0))
+	apply(0)
+	table.merge(update{version: 5, from: "h", age: 9 * time.Second}, at(10)) // no host could read the platform since
+	is.Equal(lag(10), time.Duration(0))
+	is.Equal(lag(13), 3*time.Second) // no other host has answered since
+	table.merge(update{version: 5, from: "h", took: time.Second}, at(14))
+	is.Equal(lag(14), time.Second) // the answer is late
+
+	table.merge(update{rows: []store.WatchedRow{put("b", "1", 6)}, from: "h"}, at(20)) // pushed rows do not tell what else there is
+	is.Equal(lag(20), 7*time.Second)
+	table.merge(update{version: 6, from: "h"}, at(21))
+	is.Equal(lag(22), 2*time.Second) // the rows of 20 are not in force
+	table.Rows(at(22))
+	table.merge(update{rows: []store.WatchedRow{put("c", "1", 7)}, version: 7, from: "h"}, at(23))
+	table.SetInForce()
+	is.Equal(lag(25), 2*time.Second) // nor are those of 23
+	apply(25)
+	table.merge(update{version: 7, from: "h"}, at(25))
+	is.Equal(lag(25), time.Duration(0))
+}
