--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -15,6 +15,15 @@
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
+// startPush begins to push changed rows to the other hosts of the dispatch domain. It waits while maxPushes changes are on their way.
+func (f *Follower) startPush(ctx context.Context, t *followedTable, changed []store.WatchedRow) {
+	t.pushes <- struct{}{} // pushes end after a time, also without an answer
+	f.pushing.Go(func() {
+		defer func() { <-t.pushes }()
+		f.pushToDomain(ctx, t, changed)
+	})
+}
+
 // pushToDomain sends changed rows to the other hosts of the dispatch domain: directly to those of this place, and through their place
 // reader to those of other places. A host that misses them gets them by its next poll.
 func (f *Follower) pushToDomain(ctx context.Context, t *followedTable, changed []store.WatchedRow) {
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -43,6 +43,9 @@
 	expiryGrace = 2 * time.Second
 	// peerTimeout limits a call to a peer in any dispatch domain.
 	peerTimeout = 500 * time.Millisecond
+	// maxPushes is the number of changes of a table that may be on their way to the dispatch domain at the same time. A host that does not
+	// answer keeps each of them there for twice peerTimeout, and must not keep the reader from reading the next one.
+	maxPushes = 8
 
 	methodFetch = "watch.ask"
 	methodPush  = "watch.push"
@@ -76,6 +79,8 @@
 type Follower struct {
 	opts   Options
 	tables []*followedTable
+	// pushing holds the tasks that push changes; Run waits for them.
+	pushing conc.WaitGroup
 }
 
 // followedTable is a table with the state of its reads from the platform.
@@ -89,6 +94,8 @@
 	listAgainAt time.Time
 	// age is the age of the copy in seconds.
 	age tally.Gauge
+	// pushes holds an entry for each change that is on its way to the dispatch domain.
+	pushes chan struct{}
 }
 
 // NewFollower registers the RPC handlers. Add tables before Run.
@@ -111,13 +118,16 @@
 	}
 	t.deleteAfter = o.DeleteAfter
 	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
-	f.tables = append(f.tables, &followedTable{TableOptions: o, Table: t, age: age})
+	f.tables = append(f.tables, &followedTable{
+		TableOptions: o, Table: t, age: age, pushes: make(chan struct{}, maxPushes),
+	})
 	return t
 }
 
 // Run keeps the tables up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
+	defer f.pushing.Wait()
 	defer tasks.Wait()
 	tasks.Go(func() { f.fetchLoop(ctx) })
 	for _, t := range f.tables {
@@ -215,7 +225,7 @@
 		t.listAgainAt = time.Time{}
 	}
 	if changed := t.merge(u, now); len(changed) > 0 {
-		f.pushToDomain(ctx, t, changed)
+		f.startPush(ctx, t, changed)
 	}
 	return nil
 }
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +46,12 @@
 	f.rows, f.version, f.restoredAt = kept, version+era, era
 }
 
+func (f *feed) changedSince(version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version > version
+}
+
 func (f *feed) put(key, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -80,9 +87,12 @@
 func (r *reader) List(context.Context, string) ([]store.WatchedRow, uint64, error) { return r.read(0) }
 
 func (r *reader) Changes(_ context.Context, _ string, after uint64, wait time.Duration) ([]store.WatchedRow, uint64, error) {
+	const step = 10 * time.Millisecond
 	rows, version, err := r.read(after)
 	if err == nil && len(rows) == 0 {
-		time.Sleep(wait)
+		for ; wait > 0 && !r.changedSince(after); wait -= step {
+			time.Sleep(min(step, wait))
+		}
 		rows, version, err = r.read(after)
 	}
 	time.Sleep(r.answerDelay)
@@ -96,6 +106,8 @@
 	mu sync.Mutex
 	// down is a host that receives no calls.
 	down string
+	// silent is a host that answers no calls.
+	silent string
 	// crossings counts the calls between places.
 	crossings int
 	// answerDelay is the time after which answers arrive.
@@ -136,6 +148,10 @@
 	if err := n.count(n.self, to.Host); err != nil {
 		return err
 	}
+	if to.Host == n.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	answer, err := n.handlers[to.Host][method](ctx, peer.Identity{Host: n.self}, payload)
 	if err != nil {
 		return err
@@ -384,3 +400,32 @@
 	}
 	return smallest
 }
+
+// Guards against a new version that reaches all hosts late because one of them does not answer the push of the version before.
+func TestSilentHostDelaysNoOther(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := &feed{}
+		f.put("a", "1")
+		var hosts []string
+		for i := range 9 {
+			hosts = append(hosts, "h"+strconv.Itoa(i))
+		}
+		var members []membership.Member
+		for _, h := range hosts {
+			members = append(members, membership.Member{Host: h})
+		}
+		reader, _ := ownerOf(members)
+		n := &network{handlers: map[string]map[string]peer.Handler{}, silent: hosts[(slices.Index(hosts, reader.Host)+1)%len(hosts)]}
+		tables, _ := startFollowersOn(t, n, f, hosts...)
+		time.Sleep(5 * time.Second)
+		for version := 2; version < 8; version++ {
+			f.put("row"+strconv.Itoa(version), "1")
+			time.Sleep(50 * time.Millisecond)
+			for host, table := range tables {
+				if got := len(values(table, time.Now())); got != version && host != n.silent {
+					t.Errorf("host %s has %d rows, want %d", host, got, version)
+				}
+			}
+		}
+	})
+}
