--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -50,6 +50,8 @@
 	targetEnded bool
 	// permitReleased is set once the permit is released, which may be before the attempt is finished.
 	permitReleased bool
+	// reserved is the memory for the part of the response body that has been read and not yet sent to the caller.
+	reserved reservation
 }
 
 // answer is an accepted response that has not been streamed yet. Its attempt is still open, and whoever holds the answer must
@@ -110,6 +112,7 @@
 		return
 	}
 	a.releasePermit(outcome)
+	a.reserved.release()
 	a.cancel(nil)
 	a.cancelDeadline()
 }
--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +97,44 @@
 		is.Equal(w.permits.open, 0)
 	})
 }
+
+// Guards against a host that runs out of memory, and ends the requests of all its callers, because targets send bodies without end to many requests:
+// the limit of what is read ahead for each of them bounds nothing.
+func TestBodiesWithoutEndDoNotFillTheMemory(t *testing.T) {
+	const callers = 8
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newRuleFixture(t, 1, func(o *Options) { o.Limits.ReadAheadBytes = 2 * prefetchBytes })
+		var sent atomic.Int64
+		w.net.serve(t, "t0", http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/r/endless" {
+				w.targets[0].ServeHTTP(out, r)
+				return
+			}
+			for block := make([]byte, copyBufferBytes); ; time.Sleep(time.Millisecond) {
+				n, err := out.Write(block)
+				sent.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}))
+		var bodies []io.ReadCloser
+		for range callers {
+			resp, err := w.client.Get("http://entry/r/endless")
+			is.NoErr(err)
+			bodies = append(bodies, resp.Body)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(sent.Load() < 2*prefetchBytes+callers*2*copyBufferBytes) // besides, each connection has buffers
+		got := w.do("GET", "/r/a?size=100000", "")
+		is.NoErr(got.err)
+		is.Equal(len(got.body), 100000)
+		for _, body := range bodies {
+			_ = body.Close()
+		}
+		synctest.Wait()
+		is.Equal(w.handler.readAhead.free.Load(), int64(2*prefetchBytes)) // nothing stays reserved
+	})
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -87,6 +87,8 @@
 	MaxBodyBytes   int64
 	// StallTimeout is how long a response may go without progress before it is aborted.
 	StallTimeout time.Duration
+	// ReadAheadBytes limits the memory for response bodies that are read before they are sent to callers, for all requests together.
+	ReadAheadBytes int64
 }
 
 const (
@@ -95,6 +97,9 @@
 	defaultTimeout        = 10 * time.Second
 	defaultMaxBodyBytes   = 1 << 20
 	defaultStallTimeout   = 30 * time.Second
+	// defaultReadAheadBytes is an eighth of the memory of the smallest hosts, which have 136 MB. The garbage collector may let the heap grow to
+	// twice of what is in use.
+	defaultReadAheadBytes = 16 << 20
 )
 
 func (l Limits) withDefaults() Limits {
@@ -103,6 +108,7 @@
 	l.DefaultTimeout = cmp.Or(l.DefaultTimeout, defaultTimeout)
 	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes)
 	l.StallTimeout = cmp.Or(l.StallTimeout, defaultStallTimeout)
+	l.ReadAheadBytes = cmp.Or(l.ReadAheadBytes, defaultReadAheadBytes)
 	return l
 }
 
@@ -144,10 +150,11 @@
 	metrics *metrics
 	log     requestLog
 	// work holds what is known of the work of each route.
-	work     *workEstimates
-	sequence atomic.Uint64
-	inFlight atomic.Int64
-	leaving  atomic.Bool
+	work      *workEstimates
+	readAhead *readAhead
+	sequence  atomic.Uint64
+	inFlight  atomic.Int64
+	leaving   atomic.Bool
 	// end is when this host cuts the requests in flight; nil while it is not stopping.
 	end atomic.Pointer[time.Time]
 	// hedgeAttempts tracks the goroutines of hedged requests' second attempts, which may outlive their requests.
@@ -178,7 +185,10 @@
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
-	return &Handler{opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog(), work: newWorkEstimates()}
+	return &Handler{
+		opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog(), work: newWorkEstimates(),
+		readAhead: newReadAhead(opts.Limits.ReadAheadBytes),
+	}
 }
 
 // Close waits for the second attempts of hedged requests and closes the idle connections to targets.
--- a/pkg/entry/prefetch.go
+++ b/pkg/entry/prefetch.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,35 +12,59 @@
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 )
 
-// prefetchBytes is how much of a response body is read before the header is sent to the caller. If the response breaks off
-// within it, the request can still be retried at another target. A response that ends within it frees its slot without waiting
-// for a slow caller.
-const prefetchBytes = 256 << 10
+const (
+	// prefetchBytes is how much of a response body is read before the header is sent to the caller. If the response breaks off within it, the
+	// request can still be retried at another target. A response that ends within it frees its slot without waiting for a slow caller.
+	prefetchBytes = 256 << 10
+	// minPrefetchBytes is the size of the first buffer for a body of unknown length.
+	minPrefetchBytes = 8 << 10
+)
 
-// prefetch reads up to prefetchBytes of the response body. If that is the whole body, it also releases the permit. It returns the
-// answer, or a failure with the attempt finished.
+// prefetch reads up to prefetchBytes of the response body, or less if this host has read ahead as much as it may. If that is the whole body, it
+// also releases the permit. It returns the answer, or a failure with the attempt finished.
 func (h *Handler) prefetch(rq *request, ans *answer) (*answer, *failure) {
 	if !h.shouldPrefetch(rq) || ans.resp.Body == http.NoBody {
 		return ans, nil
 	}
-	var buf bytes.Buffer
-	if n := ans.resp.ContentLength; n > 0 {
-		buf.Grow(int(min(n, prefetchBytes)) + bytes.MinRead)
-	}
-	_, err := io.CopyN(&buf, ans.resp.Body, prefetchBytes)
-	ans.bytes = uint64(buf.Len())
+	ans.reserved.from = h.readAhead
+	start, err := readStart(ans.resp.Body, ans.resp.ContentLength, &ans.reserved)
+	ans.bytes = uint64(len(start))
 	switch {
 	case errors.Is(err, io.EOF):
-		ans.fullBody = buf.Bytes()
+		ans.fullBody = start
 		ans.releasePermit(statusOutcome(ans.resp.StatusCode))
 		return ans, nil
 	case err == nil:
-		ans.bodyPrefix = buf.Bytes()
+		ans.bodyPrefix = start
 		return ans, nil
 	}
 	return nil, h.responseTruncated(rq, ans, err)
 }
 
+// readStart reads up to prefetchBytes of a body, as far as they can be reserved. The error is io.EOF if that is the whole body, and nil if there may
+// be more. length is the length of the body, or negative if it is unknown.
+func readStart(body io.Reader, length int64, reserved *reservation) ([]byte, error) {
+	size := minPrefetchBytes
+	if length >= 0 {
+		size = int(min(length+1, prefetchBytes)) // one byte more, so that the end of the body is read
+	}
+	start := []byte{}
+	for {
+		if len(start) == cap(start) {
+			if cap(start) == prefetchBytes || !reserved.grow(size-cap(start)) {
+				return start, nil
+			}
+			start = append(make([]byte, 0, size), start...)
+			size = min(2*size, prefetchBytes)
+		}
+		n, err := body.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		if err != nil {
+			return start, err
+		}
+	}
+}
+
 // shouldPrefetch reports whether the start of the response is prefetched. Callers of requests that match a rule wait for the
 // whole response anyway; other callers may need the first bytes early.
 func (h *Handler) shouldPrefetch(rq *request) bool { return rq.rule != nil }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -95,6 +95,8 @@
 	if err := h.writePrefetched(w, rq, ans, ans.bodyPrefix); err != nil {
 		return err
 	}
+	ans.bodyPrefix = nil
+	ans.reserved.release()
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	out := &callerWriter{w: w, control: http.NewResponseController(w)}
