--- a/pkg/overload/module.go
+++ b/pkg/overload/module.go
@@ -17,13 +17,8 @@
 // ModuleID is the module's name in the kernel.
 const ModuleID = "overload"
 
-const (
-	// reportInterval is the time between two looks at the meter for the metrics, the log and the other hosts.
-	reportInterval = 100 * time.Millisecond
-	// recoveryTime is for how long a process must have enough processor time before it counts as having enough again. Hysteresis keeps
-	// its callers, who look up hosts every few seconds, from going and coming, and limits the changes that spread to all hosts.
-	recoveryTime = 3 * time.Second
-)
+// reportInterval is the time between two looks at the meter for the metrics, the log and the other hosts.
+const reportInterval = 100 * time.Millisecond
 
 func init() {
 	kernel.Register(kernel.Info{ID: ModuleID, After: []string{telemetry.ModuleID, membership.ModuleID}, New: func() kernel.Module { return &Module{} }})
@@ -34,9 +29,11 @@
 	Meter   *Meter
 	members *membership.Module
 	wait    tally.Gauge
-	short   bool
-	cancel  context.CancelFunc
-	tasks   conc.WaitGroup
+	// shortage is the state of this process, and told what the other hosts know of it.
+	shortage shortage
+	told     bool
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
 }
 
 var _ kernel.Module = (*Module)(nil)
@@ -66,17 +63,17 @@
 	return nil
 }
 
-// report updates the metrics, and tells operators and the other hosts when a shortage of processor time begins or ends.
+// report updates the metrics, and tells operators and the other hosts when a lasting shortage of processor time begins or ends.
 func (m *Module) report(now time.Time) {
 	wait := m.Meter.Wait(now)
 	m.wait.Update(wait.Seconds())
-	short := m.Meter.ShortWithin(recoveryTime, now)
-	if short == m.short {
+	lasting := m.shortage.update(m.Meter, now)
+	if lasting == m.told {
 		return
 	}
-	m.short = short
-	m.members.Tracker.SetOverloaded(short)
-	log.Info().Str("step", "overload").Bool("short_of_processor_time", short).Dur("wait", wait).Msg("processor time changed")
+	m.told = lasting
+	m.members.Tracker.SetOverloaded(lasting)
+	log.Info().Str("step", "overload").Bool("short_of_processor_time", lasting).Dur("wait", wait).Msg("processor time changed")
 }
 
 // Cleanup ends the reports.
