--- a/pkg/permit/baseline.go
+++ b/pkg/permit/baseline.go
@@ -32,7 +32,7 @@
 	defer l.mu.Unlock()
 	var best *configv1.Target
 	for _, t := range l.store.Current().Targets(req.Service, l.domain) {
-		if t.GetState() == configv1.TargetState_TARGET_STATE_DRAINING {
+		if isDraining(t) {
 			continue
 		}
 		if best == nil || l.inFlight[t.GetName()] < l.inFlight[best.GetName()] {
@@ -112,7 +112,7 @@
 func activeTargets(store *config.Store, service, failureDomain string) []*configv1.Target {
 	var active []*configv1.Target
 	for _, t := range store.Current().Targets(service, failureDomain) {
-		if t.GetState() != configv1.TargetState_TARGET_STATE_DRAINING {
+		if !isDraining(t) {
 			active = append(active, t)
 		}
 	}
--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -79,6 +79,9 @@
 	excluded := req.ExcludeTargets
 	for attempt := 0; ; {
 		req.ExcludeTargets = slices.Concat(excluded, m.notices.excluded(time.Now()))
+		if attempt > 0 {
+			req.ExcludeTargets = append(req.ExcludeTargets, m.drainingTargets(req.Service)...)
+		}
 		for _, host := range m.candidates(req.Service, state) {
 			grant, err, answered := m.acquireFrom(ctx, state, req, host, attempt)
 			if answered {
@@ -242,7 +245,8 @@
 	redirectTo string
 }
 
-// accept starts the use of a granted permit, or returns it unused if it is late or its dispatcher has been replaced.
+// accept starts the use of a granted permit, or returns it unused if it is late, its dispatcher has been replaced, or its target must get no request
+// from this host.
 func (m *Manager) accept(ctx context.Context, state *clientState, req Request, host membership.Member, result acquireResult) (*Grant, error, bool) {
 	if ctx.Err() != nil || !time.Now().Before(req.Deadline) {
 		m.returnUnused(req, result)
@@ -253,7 +257,7 @@
 	held := &heldPermit{
 		key: result.key, target: result.grant.Target, class: result.grant.Class, deadline: req.Deadline, fingerprint: req.Fingerprint,
 	}
-	if replaced || m.notices.forbids(held.target, time.Now()) || !state.addHeld(held) {
+	if replaced || m.notices.forbids(held.target, time.Now()) || m.isDraining(held.target) || !state.addHeld(held) {
 		m.returnUnused(req, result)
 		return nil, nil, false
 	}
--- a/pkg/permit/notice.go
+++ b/pkg/permit/notice.go
@@ -170,6 +170,27 @@
 	return ok && known.binds(now)
 }
 
+// isDraining reports whether a target is draining in the configuration of this host. Its dispatcher may have an older one: a host must not send
+// a request to a target of which it knows itself that it leaves.
+func (m *Manager) isDraining(target string) bool {
+	return isDraining(configOf(m.opts.Store.Current(), target))
+}
+
+// drainingTargets returns the targets of a dispatcher's service that are draining in the configuration of this host.
+func (m *Manager) drainingTargets(key string) []string {
+	var list []string
+	for _, t := range m.opts.Store.Current().Targets(ServiceOf(key), m.opts.FailureDomain) {
+		if isDraining(t) {
+			list = append(list, t.GetName())
+		}
+	}
+	return list
+}
+
+func isDraining(t *configv1.Target) bool {
+	return t.GetState() == configv1.TargetState_TARGET_STATE_DRAINING
+}
+
 // configOf returns the configuration of a target, or nil.
 func configOf(snap *config.Snapshot, target string) *configv1.Target {
 	return snap.Object(config.Key{Kind: config.KindTarget, Name: target}).GetTarget()
--- a/pkg/permit/notice_test.go
+++ b/pkg/permit/notice_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
+	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
 	"github.com/rattanhitch/rattanhitch/pkg/permit/permittest"
 )
@@ -163,3 +164,40 @@
 		is.Equal(d.grantsOf(is, others[1], g.Target), 2)
 	})
 }
+
+// Guards against a request to a target that leaves, from a host that knows it, because the dispatcher has an older configuration: a dispatcher's host may
+// be short of processor time.
+func TestPermitForADrainingTargetIsReturned(t *testing.T) {
+	run(t, 1, 4, permittest.Objects(threeTargets), func(d *domain, is *is.I) {
+		owner, others := d.ownerAndOthers("lookup")
+		objects := permittest.Objects(threeTargets)
+		var names []string
+		for _, o := range objects {
+			if o.GetTarget() != nil {
+				names = append(names, o.GetTarget().GetName())
+			}
+			if len(names) == 1 && o.GetTarget() != nil {
+				o.GetTarget().State = configv1.TargetState_TARGET_STATE_DRAINING
+			}
+		}
+		newer := config.NewStore()
+		newer.Set(config.NewSnapshot(9, objects))
+		d.Configure = func(o *permit.Options) { o.Store = newer }
+		informed := d.Add("informed")
+		informed.Start()
+		time.Sleep(2 * time.Second)
+		present, _ := d.ownerAndOthers("lookup")
+		is.Equal(present.Member.Host, owner.Member.Host) // the dispatcher has the older configuration
+
+		last := d.request("lookup", 2*time.Second)
+		last.ExcludeTargets = names[1:]
+		_, err := informed.Acquire(context.Background(), last)
+		is.Equal(reason(err), peerv1.RefusalReason_REFUSAL_REASON_NO_TARGET)
+		is.Equal(d.take(is, others[0], names[1:]...).Target, names[0])
+		for range 20 {
+			g := d.take(is, informed)
+			is.True(g.Target != names[0])
+			g.Release(permit.Observation{Outcome: ok, Total: time.Millisecond})
+		}
+	})
+}
--- a/pkg/permit/slots.go
+++ b/pkg/permit/slots.go
@@ -83,7 +83,7 @@
 			restarted = append(restarted, t)
 		}
 		t.applyConfig(c, snap.Service(service).GetColdRequestsPerSecond(), now)
-		t.closed = c.GetState() == configv1.TargetState_TARGET_STATE_DRAINING || drained(c.GetName()) || t.leaving
+		t.closed = isDraining(c) || drained(c.GetName()) || t.leaving
 	}
 	s.limitLongSlots(snap.Policy(service).GetLongSharePercent())
 	kept := s.order[:0]
