--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -20,15 +20,16 @@
 }
 
 // Nearest returns up to limit hosts for a caller, which picks one of them at random. They are the usable hosts of its failure domain if these
-// suffice, or else those of its region.
+// suffice, or else those of its region. If those do not suffice either, the overloaded ones of the region are named as well and not hosts of others: how much
+// moves between regions, and how fast, is for the dispatchers to decide, and lookups have no limit for it.
 //
 // A single host of the region is enough for a caller whose requests have homes, because its requests must not leave them; without a host in
-// its region, it gets the hosts of the home regions, and overloaded hosts in either rather than others. Any other caller gets a few hosts of other
-// regions as well, as many as are missing: it would send most of its requests there if all were named.
+// its region, it gets the hosts of the home regions. Any other caller gets a few hosts of other regions as well, as many as minNearby
+// asks for: it would send most of its requests there if all were named.
 //
-// Hosts that reach no target, and overloaded ones, are named last, because requests through them take longer or are refused: only with all alive
-// and suspect hosts, when there are not enough others. Leaving and dead hosts are never returned. The order is random, weighted by the
-// processor time (Capacity) of the hosts, so that larger hosts get more callers.
+// Hosts that reach no target are named last, because requests through them take longer: only with all alive and suspect hosts, when there
+// are not enough others. Leaving and dead hosts are never returned. The order is random, weighted by the processor time (Capacity) of
+// the hosts, so that larger hosts get more callers.
 func Nearest(members []membership.Member, caller Caller, limit int) []membership.Member {
 	return pick(candidates(members, caller), limit)
 }
@@ -43,35 +44,32 @@
 	if near.suffices() {
 		return near.usable
 	}
-	if len(caller.Homes) > 0 {
-		home := newGroup(members, caller.isHome)
-		for _, list := range [][]membership.Member{near.usable, home.usable, near.overloaded, home.overloaded} {
-			if len(list) > 0 {
-				return list
-			}
-		}
+	if all := near.all(); len(all) >= minNearby || len(all) > 0 && len(caller.Homes) > 0 {
+		return all
+	}
+	if home := newGroup(members, caller.isHome).all(); len(home) > 0 {
+		return home
 	}
-	far := newGroup(members, func(m membership.Member) bool { return !caller.isNear(m) })
-	switch {
-	case len(near.usable)+len(far.usable) < minNearby:
+	far := newGroup(members, func(m membership.Member) bool { return !caller.isNear(m) }).all()
+	switch local := near.all(); {
+	case len(local)+len(far) < minNearby:
 		return filter(members, func(m membership.Member) bool {
 			return m.State == membership.StateAlive || m.State == membership.StateSuspect
 		})
-	case len(near.usable) == 0:
-		return far.usable
+	case len(local) == 0:
+		return far
+	default:
+		return append(local, pick(far, minNearby-len(local))...)
 	}
-	return near.supplement(far.usable)
 }
 
-// group holds the hosts of a failure domain or a region that can be named.
+// group holds the alive hosts of a failure domain or a region that reach targets.
 type group struct{ usable, overloaded []membership.Member }
 
 func newGroup(members []membership.Member, contains func(membership.Member) bool) group {
 	return group{
-		usable: filter(members, func(m membership.Member) bool { return contains(m) && m.IsUsable() }),
-		overloaded: filter(members, func(m membership.Member) bool {
-			return contains(m) && m.State == membership.StateAlive && m.Overloaded
-		}),
+		usable:     filter(members, func(m membership.Member) bool { return contains(m) && m.IsUsable() }),
+		overloaded: filter(members, func(m membership.Member) bool { return contains(m) && m.ReachesTargets() && m.Overloaded }),
 	}
 }
 
@@ -80,16 +78,12 @@
 	return len(g.usable) >= minNearby && processorTime(g.usable) >= processorTime(g.overloaded)
 }
 
-// supplement returns the usable hosts of the group and, in random order, as many others as it takes to suffice.
-func (g group) supplement(others []membership.Member) []membership.Member {
-	list := group{g.usable, g.overloaded}
-	for _, m := range pick(others, len(others)) {
-		if list.suffices() {
-			break
-		}
-		list.usable = append(list.usable, m)
+// all returns the usable hosts of the group, and the overloaded ones unless the usable ones suffice.
+func (g group) all() []membership.Member {
+	if g.suffices() {
+		return g.usable
 	}
-	return list.usable
+	return slices.Concat(g.usable, g.overloaded)
 }
 
 func processorTime(members []membership.Member) (sum float64) {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -44,10 +44,11 @@
 // Address returns the host name and the peer address of the member.
 func (m Member) Address() peer.Address { return peer.Address{Host: m.Host, Addr: m.PeerAddress} }
 
-// IsUsable reports whether the member is alive, reaches targets and has processor time for requests.
-func (m Member) IsUsable() bool {
-	return m.State == StateAlive && !m.TargetsUnreachable && !m.Overloaded
-}
+// ReachesTargets reports whether the member is alive and reaches targets.
+func (m Member) ReachesTargets() bool { return m.State == StateAlive && !m.TargetsUnreachable }
+
+// IsUsable reports whether the member reaches targets and has processor time for requests.
+func (m Member) IsUsable() bool { return m.ReachesTargets() && !m.Overloaded }
 
 // Owners returns the hosts of a failure domain that may own its shared state, such as dispatchers and caps: those of
 // View.Domain. If no host is left there but this one, which is leaving, this host stays an owner, because the requests that it still
