--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -14,7 +14,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &peerv1.WatchedTable{
-		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
+		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.freshness.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
 	}
 	if after > 0 && after < t.purgedVersion {
 		m.Version, m.AgeMs = 0, 0
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -36,26 +36,10 @@
 	version uint64
 	// purgedVersion is the newest version of a tombstone that was removed.
 	purgedVersion uint64
-	// readAt is the latest time at which the platform is known to have had no version newer than version.
-	readAt time.Time
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
 	recoveredAt time.Time
 	changed     chan struct{}
-	applied     applied
-	// exchangedAt is the latest time at which a host or the platform has told this host all that it knew.
-	exchangedAt time.Time
-}
-
-// applied is the state of the rows that Rows returned and SetInForce then confirmed.
-type applied struct {
-	// returnedAt is readAt, and returnedAll that no row has changed since, when Rows was called last.
-	returnedAt  time.Time
-	returnedAll bool
-	// behindAt is the time up to which the rows in force are up to date while newer ones are not in force yet, or zero. waitingSince is when
-	// the first of these arrived.
-	behindAt, waitingSince time.Time
-	// changedAt is when the first row changed after the last call of Rows.
-	changedAt time.Time
+	freshness   freshness
 }
 
 type row struct {
@@ -73,24 +57,6 @@
 	wasPresent bool
 }
 
-// note records that rows changed that Rows has not returned. readAt is the time up to which the rows before were up to date.
-func (a *applied) note(now, readAt time.Time) {
-	if a.returnedAll || a.changedAt.IsZero() {
-		a.changedAt = now
-	}
-	a.returnedAll = false
-	if a.behindAt.IsZero() {
-		a.behindAt, a.waitingSince = readAt, now
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func newTable(name string, equivalent func(a, b []byte) bool) *Table {
 	never := func(_, _ []byte) bool { return false }
 	return &Table{name: name, equivalent: equivalent, supersedes: never, rows: map[string]*row{}, changed: make(chan struct{})}
@@ -109,7 +75,7 @@
 func (t *Table) Rows(now time.Time) (rows map[string]Row, next time.Time, loaded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applied.returnedAt, t.applied.returnedAll = t.readAt, true
+	t.freshness.noteReturn()
 	rows = make(map[string]Row, len(t.rows))
 	for key, r := range t.rows {
 		if r.deleted {
@@ -143,49 +109,6 @@
 	return t.changed
 }
 
-// Loaded reports whether the table has been read once.
-func (t *Table) Loaded() bool { return t.position() > 0 }
-
-// Age returns the time for which the copy may have been out of date. ok is false if the table was never read.
-func (t *Table) Age(now time.Time) (age time.Duration, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.readAt), t.version > 0
-}
-
-// SetInForce states that the rows that the last call of Rows returned are in force now.
-func (t *Table) SetInForce() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.applied.behindAt, t.applied.waitingSince = time.Time{}, time.Time{}
-	if !t.applied.returnedAll {
-		t.applied.behindAt, t.applied.waitingSince = t.applied.returnedAt, t.applied.changedAt
-	}
-}
-
-// AgeInForce returns the time for which the rows in force may have been out of date. ok is false if the table was never read.
-func (t *Table) AgeInForce(now time.Time) (age time.Duration, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at := t.readAt
-	if !t.applied.behindAt.IsZero() {
-		at = t.applied.behindAt
-	}
-	return now.Sub(at), t.version > 0
-}
-
-// Lag returns the time for which this host may have been behind what other hosts and the platform could tell it: they have not answered since, or
-// their rows have not been in force since. Unlike the age it does not grow while the platform answers no host.
-func (t *Table) Lag(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	lag := now.Sub(t.exchangedAt)
-	if waiting := t.applied.waitingSince; !waiting.IsZero() {
-		lag = max(lag, now.Sub(waiting))
-	}
-	return lag
-}
-
 // position returns the version up to which the table is complete; 0 if it was never read.
 func (t *Table) position() uint64 {
 	t.mu.Lock()
@@ -202,8 +125,8 @@
 	// restored is set if the platform was restored from a copy, so that rows may be older than the local ones in spite of their
 	// versions. Their writers write them again.
 	restored bool
-	// age is the time for which the rows were out of date at most when they were sent, and took the time between the request and their
-	// arrival in which they were sent.
+	// age is the time for which the rows were out of date at most when they were sent. took is the time before their arrival in which they
+	// were sent.
 	age, took time.Duration
 	// sinceRecovery is the time since the end of the last outage; 0 if it is longer ago than expiryGrace.
 	sinceRecovery time.Duration
@@ -221,7 +144,7 @@
 			t.recoveredAt = at
 		}
 	}
-	previouslyReadAt := t.readAt
+	previouslyReadAt := t.freshness.readAt
 	var changed []store.WatchedRow
 	listed := map[string]bool{}
 	for _, r := range u.rows {
@@ -239,13 +162,12 @@
 	firstRead := t.version == 0 && u.version > 0
 	if u.version >= t.version {
 		t.version = u.version
-		t.readAt = latest(t.readAt, now.Add(-u.age-u.took))
-		t.exchangedAt = latest(t.exchangedAt, now.Add(-u.took))
+		t.freshness.confirm(u, now)
 	}
 	t.purgeTombstones(now)
 	// A peer may push all rows to a starting host before its first read. That read changes no row but completes the table.
 	if len(changed) > 0 || firstRead {
-		t.applied.note(now, previouslyReadAt)
+		t.freshness.noteChange(now, previouslyReadAt)
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -293,7 +293,13 @@
 	start := time.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	table := newTable("t", equal)
-	lag := func(seconds int) time.Duration { return table.Lag(at(seconds)) }
+	lag := func(seconds int) time.Duration {
+		lag, ok := table.Lag(at(seconds))
+		is.True(ok)
+		return lag
+	}
+	_, ok := table.Lag(start)
+	is.True(!ok)
 	apply := func(seconds int) {
 		table.Rows(at(seconds))
 		table.SetInForce()
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -446,7 +446,8 @@
 				for _, table := range tables {
 					table.Rows(time.Now())
 					table.SetInForce()
-					lag = max(lag, table.Lag(time.Now()))
+					now, _ := table.Lag(time.Now())
+					lag = max(lag, now)
 				}
 			}
 			return lag
