--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -75,6 +75,20 @@
 func (idle) Overloaded(time.Time) bool                 { return false }
 func (idle) ShortWithin(time.Duration, time.Time) bool { return false }
 
+// Freshness tells how up to date the configuration in force is. ok is false if that is not known.
+type Freshness interface {
+	// Age returns the time for which the configuration may have been out of date.
+	Age(now time.Time) (age time.Duration, ok bool)
+	// Lag returns the time for which it may have been behind what this host could learn from others.
+	Lag(now time.Time) (lag time.Duration, ok bool)
+}
+
+// unknownFreshness is the freshness of a configuration whose source tells nothing about it.
+type unknownFreshness struct{}
+
+func (unknownFreshness) Age(time.Time) (age time.Duration, ok bool) { return 0, false }
+func (unknownFreshness) Lag(time.Time) (lag time.Duration, ok bool) { return 0, false }
+
 // Limits are the limits of requests. A zero field selects its default.
 type Limits struct {
 	// MaxHeaderBytes limits the header of a request. http.Server.MaxHeaderBytes must be larger, so that this package refuses the
@@ -128,12 +142,8 @@
 	FindRemote func(failureDomain string, homes []string) (place Place, ok bool)
 	// Dialect reads and writes the request metadata of callers and targets; nil means dialect.Native.
 	Dialect dialect.Dialect
-	// ConfigAge returns the time for which the configuration in force may have been out of date; ok is false if that is not known. It may
-	// be nil.
-	ConfigAge func(now time.Time) (age time.Duration, ok bool)
-	// ConfigLag returns the time for which the configuration in force may have been behind what this host could learn from others; ok is false
-	// if that is not known. It may be nil.
-	ConfigLag func(now time.Time) (lag time.Duration, ok bool)
+	// Freshness tells how up to date the configuration in force is; nil means that it is not known.
+	Freshness Freshness
 	// Load tells whether this host has the processor time for its work; nil means that it always has.
 	Load     Load
 	Recorder Recorder
@@ -173,11 +183,8 @@
 	if opts.Paths == nil {
 		opts.Paths = directPaths{}
 	}
-	if opts.ConfigAge == nil {
-		opts.ConfigAge = func(time.Time) (time.Duration, bool) { return 0, false }
-	}
-	if opts.ConfigLag == nil {
-		opts.ConfigLag = func(time.Time) (time.Duration, bool) { return 0, false }
+	if opts.Freshness == nil {
+		opts.Freshness = unknownFreshness{}
 	}
 	if opts.Load == nil {
 		opts.Load = idle{}
--- a/pkg/entry/overload.go
+++ b/pkg/entry/overload.go
@@ -43,6 +43,6 @@
 // ConfigOutdated reports whether this host is behind with its configuration because it is short of processor time, so that it must not
 // decide by it. It knows neither which routes there are nor which targets leave, while other hosts do.
 func (h *Handler) ConfigOutdated(now time.Time) bool {
-	lag, known := h.opts.ConfigLag(now)
+	lag, known := h.opts.Freshness.Lag(now)
 	return known && lag > maxConfigLag && h.opts.Load.ShortWithin(catchUpTime, now)
 }
--- a/pkg/entry/overload_test.go
+++ b/pkg/entry/overload_test.go
@@ -22,6 +22,15 @@
 func (l *scriptedLoad) Overloaded(time.Time) bool                 { return l.overloaded.Load() }
 func (l *scriptedLoad) ShortWithin(time.Duration, time.Time) bool { return l.short.Load() }
 
+// scriptedFreshness is the freshness of a configuration that a test sets.
+type scriptedFreshness struct {
+	lag   time.Duration
+	known bool
+}
+
+func (f scriptedFreshness) Age(time.Time) (time.Duration, bool) { return f.lag, f.known }
+func (f scriptedFreshness) Lag(time.Time) (time.Duration, bool) { return f.lag, f.known }
+
 // Guards against a host without processor time that accepts requests which it can't serve in time: they take the time from those that it has
 // accepted, and from the calls that keep its configuration up to date.
 func TestHostWithoutProcessorTimeRefusesAtOnce(t *testing.T) {
@@ -105,7 +114,7 @@
 				load.short.Store(c.short)
 				w := newFixture(t, 1, func(o *Options) {
 					o.Load = load
-					o.ConfigLag = func(time.Time) (time.Duration, bool) { return c.lag, !c.unknown }
+					o.Freshness = scriptedFreshness{c.lag, !c.unknown}
 				})
 				got := w.do("GET", c.url, "")
 				is.NoErr(got.err)
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -97,7 +97,7 @@
 	}
 	snap := h.opts.Store.Current()
 	rq.configVersion = snap.ReportedVersion()
-	rq.configAge, _ = h.opts.ConfigAge(rq.start)
+	rq.configAge, _ = h.opts.Freshness.Age(rq.start)
 	if f := h.checkConfig(snap, rq.start); f != nil {
 		return rq, f
 	}
