--- a/pkg/overload/meter_test.go
+++ b/pkg/overload/meter_test.go
@@ -130,3 +130,20 @@
 	is.True(m.Wait(time.Now()) >= longWait)
 	is.True(!m.Overloaded(time.Now()))
 }
+
+// BenchmarkOverloaded measures what each request pays for the check.
+func BenchmarkOverloaded(b *testing.B) {
+	m := NewMeter()
+	for b.Loop() {
+		m.Overloaded(time.Now())
+	}
+}
+
+// BenchmarkOverloadedAtTheBottleneck measures it while goroutines wait for long, so that the ready ones are counted.
+func BenchmarkOverloadedAtTheBottleneck(b *testing.B) {
+	m := NewMeter()
+	for b.Loop() {
+		m.longAt = time.Now()
+		m.Overloaded(m.longAt)
+	}
+}
