--- a/pkg/permit/shard.go
+++ b/pkg/permit/shard.go
@@ -1,7 +1,6 @@
 package permit
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -124,16 +123,7 @@
 }
 
 // rankHosts returns the hosts of a failure domain in the order in which they take over the dispatcher with a key, by weighted
-// rendezvous hashing. Hosts with more processor time own more dispatchers, and overloaded ones none while there are others.
+// rendezvous hashing. Hosts with more processor time own more dispatchers.
 func rankHosts(key string, members []membership.Member) []membership.Member {
-	ranked := membership.Rank(key, members, func(m membership.Member) float64 { return m.ProcessorTime() * m.ProcessorTime() })
-	slices.SortStableFunc(ranked, func(a, b membership.Member) int { return cmp.Compare(rankOfLoad(a), rankOfLoad(b)) })
-	return ranked
-}
-
-func rankOfLoad(m membership.Member) int {
-	if m.Overloaded {
-		return 1
-	}
-	return 0
+	return membership.Rank(key, members, func(m membership.Member) float64 { return m.ProcessorTime() * m.ProcessorTime() })
 }
