Name the thresholds of package overload after what they show, and take the hosts of a region once

No change of behaviour. The shortage began at 50 ms (shortWait) and the bottleneck at 10 ms (longWait), which reads the wrong way round.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -65,15 +65,15 @@
 type Load interface {
 	// Overloaded reports whether there is more work than processor time at a moment, so that the host refuses what comes.
 	Overloaded(now time.Time) bool
-	// ShortWithin reports whether there was not enough processor time at some moment of the given time before now.
-	ShortWithin(before time.Duration, now time.Time) bool
+	// ShortageWithin reports whether there was not enough processor time at some moment of the given time before now.
+	ShortageWithin(before time.Duration, now time.Time) bool
 }
 
 // idle is the load of a host that always has enough processor time.
 type idle struct{}
 
-func (idle) Overloaded(time.Time) bool                 { return false }
-func (idle) ShortWithin(time.Duration, time.Time) bool { return false }
+func (idle) Overloaded(time.Time) bool                    { return false }
+func (idle) ShortageWithin(time.Duration, time.Time) bool { return false }
 
 // Freshness tells how up to date the configuration in force is. ok is false if that is not known.
 type Freshness interface {
--- a/pkg/entry/overload.go
+++ b/pkg/entry/overload.go
@@ -44,5 +44,5 @@
 // decide by it. It knows neither which routes there are nor which targets leave, while other hosts do.
 func (h *Handler) ConfigOutdated(now time.Time) bool {
 	lag, known := h.opts.Freshness.Lag(now)
-	return known && lag > maxConfigLag && h.opts.Load.ShortWithin(catchUpTime, now)
+	return known && lag > maxConfigLag && h.opts.Load.ShortageWithin(catchUpTime, now)
 }
--- a/pkg/entry/overload_test.go
+++ b/pkg/entry/overload_test.go
@@ -19,8 +19,8 @@
 // scriptedLoad is the load of a host that a test sets.
 type scriptedLoad struct{ overloaded, short atomic.Bool }
 
-func (l *scriptedLoad) Overloaded(time.Time) bool                 { return l.overloaded.Load() }
-func (l *scriptedLoad) ShortWithin(time.Duration, time.Time) bool { return l.short.Load() }
+func (l *scriptedLoad) Overloaded(time.Time) bool                    { return l.overloaded.Load() }
+func (l *scriptedLoad) ShortageWithin(time.Duration, time.Time) bool { return l.short.Load() }
 
 // scriptedFreshness is the freshness of a configuration that a test sets.
 type scriptedFreshness struct {
--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -40,27 +40,23 @@
 	if place.suffices() {
 		return place.usable
 	}
-	near := newGroup(members, caller.isNear)
-	if near.suffices() {
-		return near.usable
-	}
-	if all := near.all(); len(all) >= minNearby || len(all) > 0 && len(caller.Homes) > 0 {
-		return all
+	local := newGroup(members, caller.isNear).all()
+	if len(local) >= minNearby || len(local) > 0 && len(caller.Homes) > 0 {
+		return local
 	}
 	if home := newGroup(members, caller.isHome).all(); len(home) > 0 {
 		return home
 	}
 	far := newGroup(members, func(m membership.Member) bool { return !caller.isNear(m) }).all()
-	switch local := near.all(); {
+	switch {
 	case len(local)+len(far) < minNearby:
 		return filter(members, func(m membership.Member) bool {
 			return m.State == membership.StateAlive || m.State == membership.StateSuspect
 		})
 	case len(local) == 0:
 		return far
-	default:
-		return append(local, pick(far, minNearby-len(local))...)
 	}
+	return append(local, pick(far, minNearby-len(local))...)
 }
 
 // group holds the alive hosts of a failure domain or a region that reach targets.
--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -17,11 +17,11 @@
 	// waitQuantile is the fraction of the waits that a window is judged by. Most waits are short in any case: a goroutine that hands over to
 	// another one of the same request leaves the processor to it.
 	waitQuantile = 0.9
-	// longWait is the wait from which the processor is the bottleneck. A request waits about ten times, so that callers notice longer ones.
-	longWait = 10 * time.Millisecond
-	// shortWait is the wait from which a process is short of processor time even if it refuses nothing. A call to another host takes about
+	// bottleneckWait is the wait from which the processor is the bottleneck. A request waits about ten times, so that callers notice longer ones.
+	bottleneckWait = 10 * time.Millisecond
+	// shortageWait is the wait from which a process is short of processor time even if it refuses nothing. A call to another host takes about
 	// ten waits at both ends, and ends without an answer after 500 ms (package watch).
-	shortWait = 50 * time.Millisecond
+	shortageWait = 50 * time.Millisecond
 	// maxReady is the number of goroutines for each processor that may wait for it while it is the bottleneck. Each of the smallest hosts, with
 	// a fiftieth of a processor, needs about 50 ms for them.
 	maxReady = 32
@@ -42,8 +42,8 @@
 	// windowStart is when the current window began, and wait the wait in the last one.
 	windowStart time.Time
 	wait        time.Duration
-	// longAt is when the last window with a long wait ended, and shortAt when this process was last short of processor time.
-	longAt, shortAt time.Time
+	// bottleneckAt is when the last window with a long wait ended, and shortageAt when this process was last short of processor time.
+	bottleneckAt, shortageAt time.Time
 }
 
 // NewMeter returns a meter of this process.
@@ -73,19 +73,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.measure(now)
-	overloaded := within(bottleneckTime, m.longAt, now) && m.readReady() > m.maxReady
+	overloaded := within(bottleneckTime, m.bottleneckAt, now) && m.readReady() > m.maxReady
 	if overloaded {
-		m.shortAt = now
+		m.shortageAt = now
 	}
 	return overloaded
 }
 
-// ShortWithin reports whether this process was overloaded, or its goroutines waited for very long, at some moment of the given time before now.
-func (m *Meter) ShortWithin(before time.Duration, now time.Time) bool {
+// ShortageWithin reports whether this process was overloaded, or its goroutines waited for very long, at some moment of the given time before now.
+func (m *Meter) ShortageWithin(before time.Duration, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.measure(now)
-	return within(before, m.shortAt, now)
+	return within(before, m.shortageAt, now)
 }
 
 // measure ends the window if it is long enough and has enough waits. m.mu must be held.
@@ -103,11 +103,11 @@
 	if total >= minWaits {
 		m.wait = fresh.quantile(waitQuantile, total)
 	}
-	if m.wait >= longWait {
-		m.longAt = now
+	if m.wait >= bottleneckWait {
+		m.bottleneckAt = now
 	}
-	if m.wait >= shortWait {
-		m.shortAt = now
+	if m.wait >= shortageWait {
+		m.shortageAt = now
 	}
 	m.previous = append(m.previous[:0], waits.counts...)
 	m.windowStart = now
--- a/pkg/overload/meter_test.go
+++ b/pkg/overload/meter_test.go
@@ -36,19 +36,19 @@
 	p.add(2, 1)
 	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), time.Millisecond)
-	is.True(!m.ShortWithin(time.Minute, now))
+	is.True(!m.ShortageWithin(time.Minute, now))
 
 	p.add(0, 16)
 	p.add(2, 4)
 	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), 100*time.Millisecond)
-	is.True(m.ShortWithin(0, now))
+	is.True(m.ShortageWithin(0, now))
 
 	p.add(0, 20)
 	now = now.Add(minWindow)
 	is.Equal(m.Wait(now), time.Millisecond)
-	is.True(!m.ShortWithin(0, now))
-	is.True(m.ShortWithin(minWindow, now))
+	is.True(!m.ShortageWithin(0, now))
+	is.True(m.ShortageWithin(minWindow, now))
 }
 
 // Guards against a judgement by a few waits, and against a shortage that never ends at a host that has nothing to do afterwards.
@@ -75,12 +75,12 @@
 	p.add(0, 100)
 	now = now.Add(minWindow)
 	is.True(!m.Overloaded(now)) // many, but they wait for 1 ms
-	is.True(!m.ShortWithin(time.Minute, now))
+	is.True(!m.ShortageWithin(time.Minute, now))
 
 	p.add(1, 100)
 	now = now.Add(minWindow)
 	is.True(m.Overloaded(now))
-	is.True(m.ShortWithin(0, now))
+	is.True(m.ShortageWithin(0, now))
 	p.ready = testMaxReady
 	is.True(!m.Overloaded(now)) // caught up
 
@@ -127,7 +127,7 @@
 	}
 	work.Wait()
 	is.True(overloaded)
-	is.True(m.Wait(time.Now()) >= longWait)
+	is.True(m.Wait(time.Now()) >= bottleneckWait)
 	is.True(!m.Overloaded(time.Now()))
 }
 
@@ -143,7 +143,7 @@
 func BenchmarkOverloadedAtTheBottleneck(b *testing.B) {
 	m := NewMeter()
 	for b.Loop() {
-		m.longAt = time.Now()
-		m.Overloaded(m.longAt)
+		m.bottleneckAt = time.Now()
+		m.Overloaded(m.bottleneckAt)
 	}
 }
--- a/pkg/overload/shortage.go
+++ b/pkg/overload/shortage.go
@@ -20,7 +20,7 @@
 
 // update takes the present state of the meter and reports whether there is a lasting shortage. It must be called every reportInterval.
 func (s *shortage) update(m *Meter, now time.Time) (lasting bool) {
-	short := m.ShortWithin(2*reportInterval, now)
+	short := m.ShortageWithin(2*reportInterval, now)
 	switch {
 	case !short:
 		s.since = time.Time{}
@@ -28,7 +28,7 @@
 		s.since = now
 	}
 	if s.lasting {
-		s.lasting = m.ShortWithin(recoveryTime, now)
+		s.lasting = m.ShortageWithin(recoveryTime, now)
 	} else {
 		s.lasting = short && now.Sub(s.since) >= onsetTime
 	}
