--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -22,8 +22,8 @@
 	// shortageWait is the wait from which a process is short of processor time even if it refuses nothing. A call to another host takes about
 	// ten waits at both ends, and ends without an answer after 500 ms (package watch).
 	shortageWait = 50 * time.Millisecond
-	// maxReady is the number of goroutines for each processor that may wait for it while it is the bottleneck. Each of the smallest hosts, with
-	// a fiftieth of a processor, needs about 50 ms for them.
+	// maxReady is the number of goroutines for each processor that may wait for it while it is the bottleneck. A host with a quarter of a
+	// processor needs 10 to 20 ms for them, so that a request waits for about as long at each step as callers begin to notice.
 	maxReady = 32
 	// bottleneckTime is for how long after a long wait the processor counts as the bottleneck. While requests are refused the waits are short,
 	// and the callers of these requests come again within about that time.
