--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -134,8 +134,10 @@
 	settings           string
 	program            string
 	args               []string
-	cmd                *exec.Cmd
-	done               chan struct{}
+	// descriptors, if it is set, is the limit of descriptors of the process, as in its settings.
+	descriptors int
+	cmd         *exec.Cmd
+	done        chan struct{}
 }
 
 // Ports of each host, as on a day of the platform: the same on all machines.
@@ -172,6 +174,9 @@
 	"max_shift=0.15",
 }
 
+// descriptors is the limit of descriptors of a process, of which 200 are for files.
+const descriptors = 2870
+
 // Bounds that cases use.
 const (
 	stabilityWindow = 3 * time.Second
@@ -196,7 +201,7 @@
 		},
 		"internal_port_range": []int{freePort(), 65535}, "seeds": []string{l.network + "10:" + controlPort, l.network + "11:" + controlPort},
 		"bootstrap": true, "counted_in_tolerance": false,
-		"limits":         map[string]any{"cpu_share": 0.224, "cpu_cores": 1, "memory_mb": 206, "file_descriptors": 2870, "link_mbps": 700, "disk_mb": 0},
+		"limits":         map[string]any{"cpu_share": 0.224, "cpu_cores": 1, "memory_mb": 206, "file_descriptors": descriptors, "link_mbps": 700, "disk_mb": 0},
 		"data_directory": nil, "discovery": "platform", "entry": "directory", "heartbeat_interval": "1500ms",
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "places", "platform"},
 		"fault_tolerance": map[string]int{"machines": 2, "zones": 1, "regions": 1}, "bounds": bounds,
@@ -244,6 +249,10 @@
 		fail("%v", err)
 	}
 	cmd := exec.Command(h.program, h.args...)
+	if h.descriptors > 0 {
+		script := fmt.Sprintf(`ulimit -n %d; exec "$@"`, h.descriptors)
+		cmd = exec.Command("/bin/sh", append([]string{"-c", script, "sh", h.program}, h.args...)...)
+	}
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RATTANHITCH_SETTINGS=" + h.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
