--- a/review/lab-2/case_poison.go
+++ b/review/lab-2/case_poison.go
@@ -40,7 +40,7 @@
 func (f *fragile) up() {
 	listener, err := net.Listen("tcp", f.address)
 	if err != nil {
-		fail("%v", err)
+		f.lab.abort(err.Error())
 	}
 	f.mu.Lock()
 	f.listener, f.born = listener, time.Now().UnixMilli()
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -40,6 +41,7 @@
 			os.Exit(exitUnable)
 		}
 	}()
+	go l.closeOnSignal()
 	cases[os.Args[1]](l)
 	l.close()
 	switch {
@@ -52,7 +54,23 @@
 	}
 }
 
-// fail ends a case that cannot run.
+// closeOnSignal ends all hosts if the case is interrupted.
+func (l *lab) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-signals
+	l.abort("interrupted")
+}
+
+// abort ends a case that cannot go on, from any goroutine.
+func (l *lab) abort(why string) {
+	l.note("the case could not run: %s", why)
+	l.close()
+	fmt.Println("the case could not run:", why)
+	os.Exit(exitUnable)
+}
+
+// fail ends a case that cannot run. Only the goroutine of the case may call it.
 func fail(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
 
 // lab holds the processes and the stand-ins of a case.
@@ -66,6 +84,10 @@
 	names   []string
 	breaks  []string
 
+	// starting is held while a host is started.
+	starting sync.Mutex
+	closed   bool
+
 	mu     sync.Mutex
 	record *os.File
 	nextID int
@@ -113,7 +135,11 @@
 	l.breaks = append(l.breaks, text)
 }
 
+// close ends all processes. No host is started afterwards.
 func (l *lab) close() {
+	l.starting.Lock()
+	l.closed = true
+	l.starting.Unlock()
 	for _, h := range l.hosts {
 		h.kill()
 	}
@@ -244,6 +270,11 @@
 
 // startHost starts the process of a host.
 func (h *host) startHost() {
+	h.lab.starting.Lock()
+	defer h.lab.starting.Unlock()
+	if h.lab.closed {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(h.lab.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fail("%v", err)
