--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 func main() {
@@ -23,6 +25,14 @@
 		os.Exit(2)
 	}
 	f := newFleet(out, os.Args[2])
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-interrupted
+		f.stop()
+		os.RemoveAll(f.dir)
+		os.Exit(2)
+	}()
 	code := play(f, os.Getenv("TROUBLE") != "0")
 	f.stop()
 	if os.Getenv("KEEP") == "" {
