--- a/pkg/watch/freshness.go
+++ b/pkg/watch/freshness.go
@@ -70,6 +70,13 @@
 	return a
 }
 
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Age returns the time for which the copy may have been out of date. ok is false if the table was never read.
 func (t *Table) Age(now time.Time) (age time.Duration, ok bool) {
 	t.mu.Lock()
--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -20,21 +20,39 @@
 		m.Version, m.AgeMs = 0, 0
 	}
 	for key, r := range t.rows {
-		if r.changedVersion > after {
-			m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: key, Value: r.value, Version: r.version, Deleted: r.deleted})
+		if r.changedVersion > after || r.isContradicted(now) {
+			m.Rows = append(m.Rows, r.encode(key, now))
 		}
 	}
 	return m
 }
 
-// rowsMessage returns a message with some rows. It has no version, because it lacks the rows that changed to an equivalent
+// isContradicted reports whether a host may have a row with a higher version that was written before this one.
+func (r *row) isContradicted(now time.Time) bool {
+	return !r.contradictedAt.IsZero() && now.Sub(r.contradictedAt) < maxWriteDelay
+}
+
+func (r *row) encode(key string, now time.Time) *peerv1.WatchedRow {
+	m := &peerv1.WatchedRow{
+		Key: key, Value: r.value, Version: r.version, Deleted: r.deleted, Expired: r.expired, Confirmed: r.confirmed,
+		KnownMs: uint32(now.Sub(latest(r.learnedAt, r.lastDeletedAt)).Milliseconds()),
+	}
+	if r.lastRefused != nil {
+		m.Refused = &peerv1.WatchedOrder{Start: r.lastRefused.Start, Sequence: r.lastRefused.Sequence}
+	}
+	return m
+}
+
+// rowsMessage returns a message with the present state of some rows. It has no version, because it lacks the rows that changed to an equivalent
 // value: the receiver must not advance its position.
 func (t *Table) rowsMessage(rows []store.WatchedRow, now time.Time) *peerv1.WatchedTable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &peerv1.WatchedTable{Table: t.name, ReturnedMs: t.recoveredMs(now)}
-	for _, r := range rows {
-		m.Rows = append(m.Rows, &peerv1.WatchedRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	for _, changed := range rows {
+		if r := t.rows[changed.Key]; r != nil {
+			m.Rows = append(m.Rows, r.encode(changed.Key, now))
+		}
 	}
 	return m
 }
@@ -52,13 +70,18 @@
 // decodeUpdate converts a message of a peer.
 func decodeUpdate(m *peerv1.WatchedTable, from string) update {
 	u := update{
-		from: from, version: m.GetVersion(), age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		from: from, version: m.GetVersion(), marks: map[string]mark{}, age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
 	for _, r := range m.GetRows() {
 		u.rows = append(u.rows, store.WatchedRow{
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
 		})
+		m := mark{expired: r.GetExpired(), confirmed: r.GetConfirmed(), known: time.Duration(r.GetKnownMs()) * time.Millisecond}
+		if refused := r.GetRefused(); refused != nil {
+			m.refused = &Order{Start: refused.GetStart(), Sequence: refused.GetSequence()}
+		}
+		u.marks[r.GetKey()] = m
 	}
 	return u
 }
--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -89,14 +89,19 @@
 	}
 }
 
-// fetchFrom requests the rows that are newer than the local copies from a host and merges them.
+// fetchFrom requests the rows from a host that no host has told this one, and merges them.
 func (f *Follower) fetchFrom(ctx context.Context, host membership.Member) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	timeout := peerTimeout
 	req := &peerv1.WatchedTablesRequest{}
 	for _, t := range f.tables {
-		req.Positions = append(req.Positions, &peerv1.WatchedPosition{Table: t.name, Version: t.position()})
+		position := t.heardPosition()
+		if position == 0 {
+			timeout = firstFetchTimeout
+		}
+		req.Positions = append(req.Positions, &peerv1.WatchedPosition{Table: t.name, Version: position})
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	resp := &peerv1.WatchedTablesResponse{}
 	sent := time.Now()
 	if err := f.opts.Caller.Call(ctx, host.Address(), methodFetch, req, resp); err != nil {
@@ -109,6 +114,9 @@
 		if t := f.table(m.GetTable()); t != nil {
 			u := decodeUpdate(m, host.Host)
 			u.took = now.Sub(sent)
+			if u.version == 0 {
+				t.forgetHeard() // the changes since then are not known, so ask for all rows
+			}
 			t.merge(u, now)
 		}
 	}
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
@@ -20,13 +22,16 @@
 	deletionRecheck = 200 * time.Millisecond
 )
 
-// Table is the local copy of a platform table that other programs write. The version of a row never decreases.
+// Table is the local copy of a platform table that other programs write. Where the order of two values of a row is known, the later one
+// stays, whatever their versions: the platform may perform a write seconds after later ones. Otherwise the higher version stays.
 type Table struct {
 	name string
 	// equivalent reports whether two values of a row make no difference to this program.
 	equivalent func(a, b []byte) bool
-	// supersedes reports whether the content of a value shows that it was written after another one.
-	supersedes func(next, current []byte) bool
+	// order returns the order of a value among those of its row; the result is false if the content does not tell it.
+	order func(value []byte) (Order, bool)
+	// minSilence is the time without a write of a row after which its deletion counts as an expiry.
+	minSilence time.Duration
 	// deleteAfter is the table for which deletions wait, or nil.
 	deleteAfter *Table
 
@@ -34,6 +39,11 @@
 	// rows includes tombstones.
 	rows    map[string]*row
 	version uint64
+	// heard is the version up to which other hosts have told all that they know. It differs from version on a host that reads the platform
+	// itself: the platform has only the last write of each row, which may be an outdated one.
+	heard uint64
+	// readVersion is the version of the last read of the platform by this host.
+	readVersion uint64
 	// purgedVersion is the newest version of a tombstone that was removed.
 	purgedVersion uint64
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
@@ -42,24 +52,9 @@
 	freshness   freshness
 }
 
-type row struct {
-	value   []byte
-	version uint64
-	// changedVersion is the version of the last change to a value that is not equivalent; it is at most version.
-	changedVersion uint64
-	deleted        bool
-	// from is the host that sent this version, empty if this host read it from the platform itself.
-	from string
-	// graceUntil is the end of the time for which a deleted row is still returned by Rows, or zero.
-	graceUntil time.Time
-	// deletedAt is when this host received the deletion. wasPresent is set if the row was present until then.
-	deletedAt  time.Time
-	wasPresent bool
-}
-
 func newTable(name string, equivalent func(a, b []byte) bool) *Table {
-	never := func(_, _ []byte) bool { return false }
-	return &Table{name: name, equivalent: equivalent, supersedes: never, rows: map[string]*row{}, changed: make(chan struct{})}
+	unknown := func([]byte) (Order, bool) { return Order{}, false }
+	return &Table{name: name, equivalent: equivalent, order: unknown, rows: map[string]*row{}, changed: make(chan struct{})}
 }
 
 // Row is a row that is present or in its grace period after a deletion.
@@ -116,10 +111,36 @@
 	return t.version
 }
 
+// heardPosition returns the version up to which other hosts have told all that they know; 0 if none has.
+func (t *Table) heardPosition() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heard
+}
+
+// forgetHeard makes the position of what other hosts have told start again.
+func (t *Table) forgetHeard() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = 0
+}
+
+// orderOf returns the order of a value, or nil.
+func (t *Table) orderOf(value []byte) *Order {
+	if order, ok := t.order(value); ok {
+		return &order
+	}
+	return nil
+}
+
 // update is a set of rows from the platform or a peer.
 type update struct {
 	rows    []store.WatchedRow
 	version uint64
+	// after is the version since which the rows have changed.
+	after uint64
+	// marks holds, by key, what a host states of its rows.
+	marks map[string]mark
 	// full is set if rows contains all rows of the table, so that missing ones are deleted.
 	full bool
 	// restored is set if the platform was restored from a copy, so that rows may be older than the local ones in spite of their
@@ -144,6 +165,7 @@
 			t.recoveredAt = at
 		}
 	}
+	t.noteSource(u)
 	previouslyReadAt := t.freshness.readAt
 	var changed []store.WatchedRow
 	listed := map[string]bool{}
@@ -152,7 +174,7 @@
 		if u.restored && t.isOutdated(r) {
 			continue
 		}
-		if t.mergeRow(r, u.from, now) {
+		if t.mergeRow(t.arrivalOf(r, u, now), now) {
 			changed = append(changed, r)
 		}
 	}
@@ -174,23 +196,92 @@
 	return changed
 }
 
-// mergeRow applies one row and returns whether its value changed to one that is not equivalent. A host sends a row only if it has
-// changed, so any other value from a host counts: the value that it is equivalent to may have been replaced in between. t.mu must
-// be held.
-func (t *Table) mergeRow(r store.WatchedRow, from string, now time.Time) bool {
-	current := t.rows[r.Key]
-	if current != nil && current.version >= r.Version {
-		return false
+// noteSource records how far this host has read the platform, and how far other hosts have answered. A read that does not continue the last
+// one misses writes that other hosts do not pass on, as they made no difference. t.mu must be held.
+func (t *Table) noteSource(u update) {
+	if u.from != "" {
+		t.heard = max(t.heard, u.version)
+		return
+	}
+	if u.full || u.after != t.readVersion {
+		for _, r := range t.rows {
+			r.readHere = false
+		}
+	}
+	t.readVersion = u.version
+}
+
+// arrivalOf returns a row of an update with what is known of its write. The platform had not performed it when it had nothing newer than this
+// copy. t.mu must be held.
+func (t *Table) arrivalOf(r store.WatchedRow, u update, now time.Time) *arrival {
+	a := &arrival{WatchedRow: r, order: t.orderOf(r.Value), from: u.from, mark: u.marks[r.Key]}
+	a.learnedAt = now.Add(-a.known)
+	if u.from == "" && !u.full {
+		a.performedAfter = t.freshness.readAt
+	}
+	return a
+}
+
+// mergeRow applies one row and returns whether its value changed to one that is not equivalent. t.mu must be held.
+func (t *Table) mergeRow(a *arrival, now time.Time) bool {
+	current := t.rows[a.Key]
+	if a.refused != nil {
+		defer func() { t.rows[a.Key].noteRefused(a.refused, now) }()
 	}
-	if r.Deleted {
-		return t.delete(r.Key, r.Version, now)
+	switch {
+	case a.Deleted:
+		return t.mergeTombstone(current, a, now)
+	case current == nil:
+		t.rows[a.Key] = newRow(a, now)
+		return true
+	}
+	switch current.judge(a) {
+	case rowOutdated:
+		current.noteOutdated(a, now)
+	case rowRefused:
+		t.refuse(current, a, now)
+	case rowAccepted:
+		return t.replace(current, a, now)
+	case rowConfirmed:
+		t.logDecision(current, a, "row accepted: its write was made later")
+		a.confirmed = true
+		return t.replace(current, a, now)
 	}
-	next := &row{value: r.Value, version: r.Version, changedVersion: r.Version, from: from}
-	t.rows[r.Key] = next
-	if current == nil || current.deleted {
+	return false
+}
+
+// refuse keeps the current row. t.mu must be held.
+func (t *Table) refuse(current *row, a *arrival, now time.Time) {
+	if a.from == "" {
+		current.writtenAt = now
+	}
+	if !current.deleted && t.equivalent(current.value, a.Value) {
+		return
+	}
+	if current.deleted {
+		current.noteLastValue(a)
+	}
+	current.noteRefused(a.order, now)
+	t.logDecision(current, a, "row refused: its write was made earlier")
+}
+
+// replace puts a row in the place of the current one and returns whether its value changed to one that is not equivalent. A host sends a row
+// only if it has changed, so any other value from a host counts: the value that it is equivalent to may have been replaced in between. t.mu
+// must be held.
+func (t *Table) replace(current *row, a *arrival, now time.Time) bool {
+	next := newRow(a, now)
+	if a.order == nil {
+		next.order = current.order
+	}
+	if a.Version < current.version {
+		next.contradictedAt = now
+		t.logDecision(current, a, "row replaced: its write was made earlier")
+	}
+	t.rows[a.Key] = next
+	if current.deleted {
 		return true
 	}
-	if bytes.Equal(current.value, r.Value) || from == "" && t.equivalent(current.value, r.Value) {
+	if bytes.Equal(current.value, a.Value) || a.from == "" && t.equivalent(current.value, a.Value) {
 		next.changedVersion = current.changedVersion
 		return false
 	}
@@ -204,7 +295,34 @@
 	if current == nil || !current.deleted && bytes.Equal(current.value, r.Value) {
 		return false
 	}
-	return !t.supersedes(r.Value, current.value)
+	order := t.orderOf(r.Value)
+	if order == nil {
+		return true
+	}
+	return current.order != nil && !order.after(*current.order)
+}
+
+// mergeTombstone applies a deletion and returns whether the row was present. A tombstone with a lower version than the row deletes it too if
+// the row's value was written before the deletion. t.mu must be held.
+func (t *Table) mergeTombstone(current *row, a *arrival, now time.Time) bool {
+	if current != nil && !current.deleted {
+		if a.Version <= current.version {
+			if !current.wasWrittenBefore(a, now) {
+				return false
+			}
+			t.logDecision(current, a, "row deleted: its write was made earlier")
+			current.contradictedAt = now
+		}
+		a.expired = a.expired || a.from == "" && t.minSilence > 0 && current.readHere && now.Sub(current.writtenAt) >= t.minSilence
+	}
+	wasPresent := t.delete(a.Key, a.Version, now)
+	tombstone := t.rows[a.Key]
+	tombstone.noteLastValue(a)
+	if tombstone.version == a.Version {
+		tombstone.expired = tombstone.expired || a.expired
+		tombstone.lastDeletedAt = earliest(tombstone.lastDeletedAt, a.learnedAt)
+	}
+	return wasPresent
 }
 
 // deleteMissing deletes the rows up to a version that a full list lacks, and returns them. t.mu must be held.
@@ -227,15 +345,18 @@
 func (t *Table) delete(key string, version uint64, now time.Time) bool {
 	current := t.rows[key]
 	if current == nil {
-		t.rows[key] = &row{version: version, changedVersion: version, deleted: true, deletedAt: now}
+		t.rows[key] = &row{version: version, changedVersion: version, deleted: true, deletedAt: now, lastDeletedAt: now}
 		return false
 	}
 	if current.deleted {
-		current.version = version
+		if version > current.version {
+			current.version, current.lastDeletedAt, current.expired = version, now, false
+		}
 		return false
 	}
+	current.lastDeletedAt = now
 	current.version, current.changedVersion, current.deleted, current.deletedAt = version, version, true, now
-	current.wasPresent = true
+	current.wasPresent, current.confirmed, current.expired = true, false, false
 	if until := t.recoveredAt.Add(expiryGrace); !t.recoveredAt.IsZero() && until.After(now) {
 		current.graceUntil = until
 	}
@@ -245,9 +366,22 @@
 // purgeTombstones removes tombstones older than tombstoneRetention. t.mu must be held.
 func (t *Table) purgeTombstones(now time.Time) {
 	for key, r := range t.rows {
-		if r.deleted && now.Sub(r.deletedAt) > tombstoneRetention {
+		if r.deleted && now.Sub(r.lastDeletedAt) > tombstoneRetention {
 			t.purgedVersion = max(t.purgedVersion, r.version)
 			delete(t.rows, key)
 		}
 	}
 }
+
+// logDecision logs what becomes of a row where its record version and the order of its value contradict each other.
+func (t *Table) logDecision(current *row, a *arrival, decision string) {
+	event := log.Info().Str("step", "watch").Str("table", t.name).Str("row", a.Key).Str("from", a.from).
+		Uint64("version", a.Version).Bool("deleted", a.Deleted).Uint64("known_version", current.version).Bool("known_deleted", current.deleted)
+	if a.order != nil {
+		event = event.Uint64("start", a.order.Start).Float64("sequence", a.order.Sequence)
+	}
+	if current.order != nil {
+		event = event.Uint64("known_start", current.order.Start).Float64("known_sequence", current.order.Sequence)
+	}
+	event.Msg(decision)
+}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -229,7 +229,6 @@
 	is := is.New(t)
 	now := time.Now()
 	table := newTable("t", equal)
-	table.supersedes = func(next, current []byte) bool { return string(next) > string(current) }
 	table.merge(update{full: true, version: 3, rows: []store.WatchedRow{
 		put("added", "1", 2), put("changed", "2", 3), put("deleted", "1", 1), put("kept", "1", 1),
 	}}, now)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	expiryGrace = 2 * time.Second
 	// peerTimeout limits a call to a peer in any dispatch domain.
 	peerTimeout = 500 * time.Millisecond
+	// firstFetchTimeout limits a call that asks for whole tables. Many hosts that start together may ask one host for them.
+	firstFetchTimeout = 2 * time.Second
 	// maxPushes is the number of changes of a table that may be on their way to the dispatch domain at the same time. A host that does not
 	// answer keeps each of them there for twice peerTimeout, and must not keep the reader from reading the next one.
 	maxPushes = 8
@@ -59,8 +62,11 @@
 	Interval time.Duration
 	// Equivalent reports whether a change of a row from one value to the other can be ignored.
 	Equivalent func(a, b []byte) bool
-	// Supersedes reports whether the content of a value shows that it was written after another one. Nil means that no content does.
-	Supersedes func(next, current []byte) bool
+	// Order returns the order of a value among all that are written to its row; the result is false if the content does not tell it. Nil means
+	// that no content does.
+	Order func(value []byte) (Order, bool)
+	// Expiry is the time without a write after which the platform deletes a row. Zero means that rows do not expire.
+	Expiry time.Duration
 	// DeleteAfter is a table of which the copy must have all changes up to the deletion of a row before the deletion is in force: until
 	// then, for maxDeletionDelay at most, the row stays present. Nil means that deletions are in force at once.
 	DeleteAfter *Table
@@ -113,8 +119,11 @@
 // Add registers a table and returns its copy, which is empty until Run has read it.
 func (f *Follower) Add(o TableOptions) *Table {
 	t := newTable(o.Name, o.Equivalent)
-	if o.Supersedes != nil {
-		t.supersedes = o.Supersedes
+	if o.Order != nil {
+		t.order = o.Order
+	}
+	if o.Expiry > 0 { // the last write may be read later by an interval than the deletion
+		t.minSilence = max(o.Expiry-o.Interval, 1)
 	}
 	t.deleteAfter = o.DeleteAfter
 	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
@@ -142,15 +151,20 @@
 	return reader, ok && reader.Host != self.Host
 }
 
-// source returns the host that this one polls: its place reader or, if that is this host, the reader. The result is false if there is
-// none.
+// source returns the host that this one polls: its place reader or, if that is this host, the reader, or the host that would be the reader
+// without this one. The reader polls too, because the platform tells only the last write of each row: a reader that starts, or was cut off,
+// learns from another host which of them are outdated. The result is false if there is none.
 func (f *Follower) source() (membership.Member, bool) {
 	self := f.opts.View.Self()
-	near, ok := ownerOf(membersByPlace(f.opts.View.Domain(self.FailureDomain))[self.Place])
+	domain := f.opts.View.Domain(self.FailureDomain)
+	near, ok := ownerOf(membersByPlace(domain)[self.Place])
 	if ok && near.Host != self.Host {
 		return near, true
 	}
-	return f.reader()
+	if reader, other := f.reader(); other {
+		return reader, true
+	}
+	return ownerOf(slices.DeleteFunc(slices.Clone(domain), func(m membership.Member) bool { return m.Host == self.Host }))
 }
 
 // ownerOf returns the host that ranks first for readerKey; ok is false if there is none.
@@ -212,6 +226,7 @@
 		return steperr.Wrap(err, "read table "+t.name, "")
 	}
 	now := time.Now()
+	u.after = after
 	u.took = answerDelay(now.Sub(sent), wait, len(u.rows) > 0)
 	if u.restored || !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
 		u.sinceRecovery = time.Millisecond
