--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -3,21 +3,28 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
-// rowsSince returns a message with the rows and tombstones that have changed since a version. It leaves out rows that got
-// equivalent values, which are most of them: programs update their rows all the time. If tombstones after that version are missing,
-// the message has no version, so that the receiver reads the deletions from the platform.
-func (t *Table) rowsSince(after uint64, now time.Time) *peerv1.WatchedTable {
+// rowsSince returns a message with the rows and tombstones that have changed since a version, 0 for all of them. It leaves out rows that got
+// equivalent values, which are most of them: programs update their rows all the time. If this host does not know all deletions since that
+// version, the message holds the whole table, or has no version if the receiver does not understand that.
+func (t *Table) rowsSince(after uint64, acceptsWhole bool, now time.Time) *peerv1.WatchedTable {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &peerv1.WatchedTable{
 		Table: t.name, Version: t.version, AgeMs: uint32(now.Sub(t.freshness.readAt).Milliseconds()) + 1, ReturnedMs: t.recoveredMs(now),
+		HistoryFrom: proto.Uint64(t.historyFrom),
 	}
-	if after > 0 && after < t.purgedVersion {
-		m.Version, m.AgeMs = 0, 0
+	unknown := after > 0 && after < t.historyFrom
+	switch {
+	case t.version == 0 || unknown && !acceptsWhole:
+		m.Version, m.AgeMs, m.HistoryFrom = 0, 0, nil
+	case unknown || after == 0:
+		m.Whole, after = true, 0
 	}
 	for key, r := range t.rows {
 		if r.changedVersion > after || r.isContradicted(now) {
@@ -70,9 +77,12 @@
 // decodeUpdate converts a message of a peer.
 func decodeUpdate(m *peerv1.WatchedTable, from string) update {
 	u := update{
-		from: from, version: m.GetVersion(), marks: map[string]mark{}, age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		from: from, version: m.GetVersion(), full: m.GetWhole(), historyFrom: m.GetVersion(), marks: map[string]mark{}, age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
+	if m.HistoryFrom != nil {
+		u.historyFrom = m.GetHistoryFrom()
+	}
 	for _, r := range m.GetRows() {
 		u.rows = append(u.rows, store.WatchedRow{
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
--- a/pkg/watch/order_test.go
+++ b/pkg/watch/order_test.go
@@ -59,7 +59,10 @@
 
 // hear asks another host.
 func (c *orderedCopy) hear(from *orderedCopy) {
-	c.merge(decodeUpdate(from.rowsSince(c.heardPosition(), c.now), from.host), c.now)
+	u := decodeUpdate(from.rowsSince(c.heardPosition(), true, c.now), from.host)
+	u.after = c.heardPosition()
+	u.full = u.full || u.after == 0 && u.version > 0
+	c.merge(u, c.now)
 }
 
 // values returns the rows that are present.
--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -92,12 +92,14 @@
 // fetchFrom requests the rows from a host that no host has told this one, and merges them.
 func (f *Follower) fetchFrom(ctx context.Context, host membership.Member) {
 	timeout := peerTimeout
-	req := &peerv1.WatchedTablesRequest{}
+	req := &peerv1.WatchedTablesRequest{AcceptsWhole: true}
+	after := map[string]uint64{}
 	for _, t := range f.tables {
 		position := t.heardPosition()
 		if position == 0 {
 			timeout = firstFetchTimeout
 		}
+		after[t.name] = position
 		req.Positions = append(req.Positions, &peerv1.WatchedPosition{Table: t.name, Version: position})
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -113,7 +115,8 @@
 	for _, m := range resp.GetTables() {
 		if t := f.table(m.GetTable()); t != nil {
 			u := decodeUpdate(m, host.Host)
-			u.took = now.Sub(sent)
+			u.took, u.after = now.Sub(sent), after[t.name]
+			u.full = u.full || u.after == 0 && u.version > 0
 			if u.version == 0 {
 				t.forgetHeard() // the changes since then are not known, so ask for all rows
 			}
@@ -141,7 +144,7 @@
 	now := time.Now()
 	for _, p := range req.GetPositions() {
 		if t := f.table(p.GetTable()); t != nil {
-			resp.Tables = append(resp.Tables, t.rowsSince(p.GetVersion(), now))
+			resp.Tables = append(resp.Tables, t.rowsSince(p.GetVersion(), req.GetAcceptsWhole(), now))
 		}
 	}
 	return resp, nil
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -39,13 +39,14 @@
 	// rows includes tombstones.
 	rows    map[string]*row
 	version uint64
-	// heard is the version up to which other hosts have told all that they know. It differs from version on a host that reads the platform
-	// itself: the platform has only the last write of each row, which may be an outdated one.
-	heard uint64
+	// heard is the version up to which other hosts have told all that they know, heardFrom the version after which they knew all deletions.
+	// heard differs from version on a host that reads the platform itself: the platform has only the last write of each row, which may be an
+	// outdated one.
+	heard, heardFrom uint64
 	// readVersion is the version of the last read of the platform by this host.
 	readVersion uint64
-	// purgedVersion is the newest version of a tombstone that was removed.
-	purgedVersion uint64
+	// historyFrom is the version after which this host knows all deletions. A list of all rows tells none of the deletions before it.
+	historyFrom uint64
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
 	recoveredAt time.Time
 	changed     chan struct{}
@@ -141,6 +142,8 @@
 	after uint64
 	// marks holds, by key, what a host states of its rows.
 	marks map[string]mark
+	// historyFrom is the version after which the host that sent the rows knows all deletions.
+	historyFrom uint64
 	// full is set if rows contains all rows of the table, so that missing ones are deleted.
 	full bool
 	// restored is set if the platform was restored from a copy, so that rows may be older than the local ones in spite of their
@@ -166,6 +169,7 @@
 		}
 	}
 	t.noteSource(u)
+	before := t.version
 	previouslyReadAt := t.freshness.readAt
 	var changed []store.WatchedRow
 	listed := map[string]bool{}
@@ -186,6 +190,7 @@
 		t.version = u.version
 		t.freshness.confirm(u, now)
 	}
+	t.noteHistory(u, before)
 	t.purgeTombstones(now)
 	// A peer may push all rows to a starting host before its first read. That read changes no row but completes the table.
 	if len(changed) > 0 || firstRead {
@@ -200,7 +205,7 @@
 // one misses writes that other hosts do not pass on, as they made no difference. t.mu must be held.
 func (t *Table) noteSource(u update) {
 	if u.from != "" {
-		t.heard = max(t.heard, u.version)
+		t.noteHeard(u)
 		return
 	}
 	if u.full || u.after != t.readVersion {
@@ -211,6 +216,30 @@
 	t.readVersion = u.version
 }
 
+// noteHeard records what another host has told. t.mu must be held.
+func (t *Table) noteHeard(u update) {
+	switch {
+	case u.full:
+		t.heard, t.heardFrom = u.version, u.historyFrom
+	case u.version > t.heard && u.after <= t.heard:
+		t.heard = u.version
+	}
+}
+
+// noteHistory records from where on this host knows all deletions, after an update of a table that was complete up to a version. t.mu must
+// be held.
+func (t *Table) noteHistory(u update, before uint64) {
+	switch {
+	case u.full && u.from == "":
+		t.historyFrom = max(t.historyFrom, u.version)
+	case u.full && u.historyFrom > before:
+		t.historyFrom = max(t.historyFrom, u.historyFrom)
+	}
+	if t.heard >= t.historyFrom {
+		t.historyFrom = min(t.historyFrom, t.heardFrom)
+	}
+}
+
 // arrivalOf returns a row of an update with what is known of its write. The platform had not performed it when it had nothing newer than this
 // copy. t.mu must be held.
 func (t *Table) arrivalOf(r store.WatchedRow, u update, now time.Time) *arrival {
@@ -231,6 +260,9 @@
 	switch {
 	case a.Deleted:
 		return t.mergeTombstone(current, a, now)
+	case current == nil && a.from != "" && a.Version <= t.version:
+		t.noteMissed(a, now)
+		return false
 	case current == nil:
 		t.rows[a.Key] = newRow(a, now)
 		return true
@@ -250,6 +282,12 @@
 	return false
 }
 
+// noteMissed records the deletion of a row that this copy lacks although it is complete beyond the row's version. t.mu must be held.
+func (t *Table) noteMissed(a *arrival, now time.Time) {
+	t.delete(a.Key, t.version, now)
+	t.rows[a.Key].noteLastValue(a)
+}
+
 // refuse keeps the current row. t.mu must be held.
 func (t *Table) refuse(current *row, a *arrival, now time.Time) {
 	if a.from == "" {
@@ -367,7 +405,8 @@
 func (t *Table) purgeTombstones(now time.Time) {
 	for key, r := range t.rows {
 		if r.deleted && now.Sub(r.lastDeletedAt) > tombstoneRetention {
-			t.purgedVersion = max(t.purgedVersion, r.version)
+			t.historyFrom = max(t.historyFrom, r.version)
+			t.heardFrom = max(t.heardFrom, r.version)
 			delete(t.rows, key)
 		}
 	}
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -113,13 +113,13 @@
 	reader.merge(update{rows: []store.WatchedRow{{Key: "a", Version: 3, Deleted: true}}, version: 3}, now)
 	later := now.Add(2 * tombstoneRetention)
 	reader.merge(update{rows: []store.WatchedRow{put("c", "1", 4)}, version: 4}, later)
-	away.merge(decodeUpdate(reader.rowsSince(away.position(), later), "h1"), later)
+	away.merge(decodeUpdate(reader.rowsSince(away.position(), false, later), "h1"), later)
 	if _, kept := values(away, later)["a"]; kept {
 		is.Equal(away.position(), uint64(2)) // the next read of the platform tells the deletion
 	}
 	is.Equal(values(away, later)["c"], "1") // until then the host has at least the newer rows
 	fresh := newTable("t", equal)
-	fresh.merge(decodeUpdate(reader.rowsSince(0, later), "h1"), later)
+	fresh.merge(decodeUpdate(reader.rowsSince(0, false, later), "h1"), later)
 	is.Equal(fresh.position(), uint64(4)) // a host without rows needs no deletions
 }
 
@@ -148,15 +148,15 @@
 	table := newTable("t", func(a, b []byte) bool { return a[0] == b[0] })
 	table.merge(update{rows: []store.WatchedRow{put("a", "x1", 1), put("b", "x1", 2)}, version: 2}, now)
 	table.merge(update{rows: []store.WatchedRow{put("a", "x2", 3), put("b", "x2", 4)}, version: 4}, now)
-	m := table.rowsSince(2, now)
+	m := table.rowsSince(2, false, now)
 	is.Equal(m.GetVersion(), uint64(4))
 	is.Equal(len(m.GetRows()), 0)
 
 	table.merge(update{rows: []store.WatchedRow{put("a", "y3", 5), put("b", "x3", 6)}, version: 6}, now)
-	m = table.rowsSince(4, now)
+	m = table.rowsSince(4, false, now)
 	is.Equal(len(m.GetRows()), 1)
 	is.Equal(m.GetRows()[0].GetKey(), "a")
-	is.Equal(len(table.rowsSince(0, now).GetRows()), 2) // a host without a copy gets all rows
+	is.Equal(len(table.rowsSince(0, false, now).GetRows()), 2) // a host without a copy gets all rows
 }
 
 // Guards against a change that a host takes for a heartbeat because it has not received the rows between its copy and the change:
@@ -170,11 +170,11 @@
 		reader.merge(update{rows: []store.WatchedRow{put("a", value, version)}, version: version}, now)
 	}
 	step("3 at 0", 1)
-	other.merge(decodeUpdate(reader.rowsSince(0, now), "h1"), now)
+	other.merge(decodeUpdate(reader.rowsSince(0, false, now), "h1"), now)
 	step("1 at 2", 2)
 	step("3 at 3", 3)
 	changed := other.Changed()
-	other.merge(decodeUpdate(reader.rowsSince(1, now), "h1"), now)
+	other.merge(decodeUpdate(reader.rowsSince(1, false, now), "h1"), now)
 	select {
 	case <-changed:
 	default:
