Tell hosts that decided otherwise of a row that was accepted against the order

Cause: a row that is accepted although its order contradicts what is known (the clock of the target's machine went back, or its row had expired) is stated as confirmed.

Change: all rows of a confirmed process are confirmed; within a process the order decides; a row that was accepted in this way is sent again for 10 s, as a refused one is; a pause of two read intervals makes the time of the last report unknown.

--- a/pkg/watch/order_test.go
+++ b/pkg/watch/order_test.go
@@ -43,7 +43,7 @@
 
 func newOrderedCopy(host string, now time.Time) *orderedCopy {
 	table := newTable("t", sameReport)
-	table.order, table.minSilence = reportOrder, 3*time.Second
+	table.order, table.minSilence, table.maxReadGap = reportOrder, 3*time.Second, 2*time.Second
 	return &orderedCopy{table, host, now}
 }
 
--- a/pkg/watch/row.go
+++ b/pkg/watch/row.go
@@ -24,10 +24,10 @@
 	learnedAt time.Time
 	// lastRefused is the order of the last value that was refused, or nil.
 	lastRefused *Order
-	// confirmed is set if the value was accepted although the order contradicted it or did not decide.
+	// confirmed is set if a value of this process was accepted although the order contradicted it or did not decide.
 	confirmed bool
-	// contradictedAt is when a row arrived last that has a higher version and is not accepted, or zero. Hosts whose position is beyond
-	// that version must be told this row again.
+	// contradictedAt is when another row was refused, or this one accepted, against the order of their versions or values, or zero. Hosts that
+	// have decided otherwise may be beyond this version, and must be told this row again.
 	contradictedAt time.Time
 	// from is the host that sent this version, empty if this host read it from the platform itself.
 	from string
@@ -84,11 +84,15 @@
 // judge decides on a value that arrives for a row.
 func (r *row) judge(a *arrival) verdict {
 	newer := a.Version > r.version
+	if r.order == nil || a.order == nil {
+		return acceptedIf(newer)
+	}
+	otherProcess := a.order.Start != r.order.Start
 	switch {
-	case newer && a.confirmed:
+	case newer && a.confirmed && (otherProcess || r.deleted && !r.order.after(*a.order)):
 		return rowConfirmed
-	case r.order == nil || a.order == nil || r.confirmed && !newer:
-		return acceptedIf(newer)
+	case !newer && r.confirmed && otherProcess:
+		return rowOutdated
 	case r.deleted:
 		return r.judgeReturn(a)
 	case a.order.after(*r.order):
@@ -106,6 +110,10 @@
 	return r.lastRefused != nil && r.lastRefused.Start == a.order.Start && !a.order.after(*r.lastRefused)
 }
 
+func (r *row) isSameProcess(o *row) bool {
+	return r.order != nil && o.order != nil && r.order.Start == o.order.Start
+}
+
 func acceptedIf(newer bool) verdict {
 	if newer {
 		return rowAccepted
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -43,8 +43,11 @@
 	// heard differs from version on a host that reads the platform itself: the platform has only the last write of each row, which may be an
 	// outdated one.
 	heard, heardFrom uint64
-	// readVersion is the version of the last read of the platform by this host.
+	// readVersion and readAt are the version and the time of the last read of the platform by this host.
 	readVersion uint64
+	readAt      time.Time
+	// maxReadGap is the time between two reads above which this host may miss writes.
+	maxReadGap time.Duration
 	// historyFrom is the version after which this host knows all deletions. A list of all rows tells none of the deletions before it.
 	historyFrom uint64
 	// recoveredAt is when reads first succeeded again after the last outage, or zero.
@@ -168,7 +171,7 @@
 			t.recoveredAt = at
 		}
 	}
-	t.noteSource(u)
+	t.noteSource(u, now)
 	before := t.version
 	previouslyReadAt := t.freshness.readAt
 	var changed []store.WatchedRow
@@ -202,18 +205,19 @@
 }
 
 // noteSource records how far this host has read the platform, and how far other hosts have answered. A read that does not continue the last
-// one misses writes that other hosts do not pass on, as they made no difference. t.mu must be held.
-func (t *Table) noteSource(u update) {
+// one misses writes that other hosts do not pass on, as they made no difference, and a late one those that were followed by another write.
+// t.mu must be held.
+func (t *Table) noteSource(u update, now time.Time) {
 	if u.from != "" {
 		t.noteHeard(u)
 		return
 	}
-	if u.full || u.after != t.readVersion {
+	if u.full || u.after != t.readVersion || now.Sub(t.readAt) > t.maxReadGap {
 		for _, r := range t.rows {
 			r.readHere = false
 		}
 	}
-	t.readVersion = u.version
+	t.readVersion, t.readAt = u.version, now
 }
 
 // noteHeard records what another host has told. t.mu must be held.
@@ -277,7 +281,9 @@
 	case rowConfirmed:
 		t.logDecision(current, a, "row accepted: its write was made later")
 		a.confirmed = true
-		return t.replace(current, a, now)
+		changed := t.replace(current, a, now)
+		t.rows[a.Key].contradictedAt = now
+		return changed
 	}
 	return false
 }
@@ -319,6 +325,7 @@
 	if current.deleted {
 		return true
 	}
+	next.confirmed = next.confirmed || current.confirmed && next.isSameProcess(current)
 	if bytes.Equal(current.value, a.Value) || a.from == "" && t.equivalent(current.value, a.Value) {
 		next.changedVersion = current.changedVersion
 		return false
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -123,7 +123,7 @@
 		t.order = o.Order
 	}
 	if o.Expiry > 0 { // the last write may be read later by an interval than the deletion
-		t.minSilence = max(o.Expiry-o.Interval, 1)
+		t.minSilence, t.maxReadGap = max(o.Expiry-o.Interval, 1), 2*o.Interval
 	}
 	t.deleteAfter = o.DeleteAfter
 	age := f.opts.Scope.Tagged(map[string]string{"table": o.Name}).Gauge("age_seconds")
