--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -75,8 +75,8 @@
 }
 
 // fetchFromRandomPeer fetches the tables from a random host of any dispatch domain that is not suspect: the platform may
-// refuse some hosts and serve others.
-func (f *Follower) fetchFromRandomPeer(ctx context.Context) {
+// refuse some hosts and serve others. It reports whether the host has answered.
+func (f *Follower) fetchFromRandomPeer(ctx context.Context) bool {
 	self := f.opts.View.Self()
 	var others []membership.Member
 	for _, m := range f.opts.View.All() {
@@ -84,13 +84,11 @@
 			others = append(others, m)
 		}
 	}
-	if len(others) > 0 {
-		f.fetchFrom(ctx, others[rand.IntN(len(others))])
-	}
+	return len(others) > 0 && f.fetchFrom(ctx, others[rand.IntN(len(others))])
 }
 
-// fetchFrom requests the rows from a host that no host has told this one, and merges them.
-func (f *Follower) fetchFrom(ctx context.Context, host membership.Member) {
+// fetchFrom requests the rows from a host that no host has told this one, merges them, and reports whether the host has answered.
+func (f *Follower) fetchFrom(ctx context.Context, host membership.Member) bool {
 	timeout := peerTimeout
 	req := &peerv1.WatchedTablesRequest{AcceptsWhole: true}
 	after := map[string]uint64{}
@@ -108,8 +106,9 @@
 	sent := time.Now()
 	if err := f.opts.Caller.Call(ctx, host.Address(), methodFetch, req, resp); err != nil {
 		f.opts.Scope.Counter("ask_failures").Inc(1)
-		return
+		return false
 	}
+	f.hasHeard.Store(true)
 	f.opts.Scope.Counter("fetched_bytes").Inc(int64(proto.Size(resp)))
 	now := time.Now()
 	for _, m := range resp.GetTables() {
@@ -123,6 +122,7 @@
 			t.merge(u, now)
 		}
 	}
+	return true
 }
 
 // table returns a followed table by name, or nil.
--- a/pkg/watch/table_soak_test.go
+++ b/pkg/watch/table_soak_test.go
@@ -117,23 +117,33 @@
 	return keys
 }
 
-// waitForReport lets a target report until the hosts have had the time to read its last report and that was not so long ago that they cannot tell a
-// removal from an expiry.
-func (s *lateStore) waitForReport(g *soakTarget, rng *soak.Rand) {
-	for {
+// waitForReport lets a target report until the hosts have read its last report and that was not so long ago that they cannot tell a removal from an
+// expiry.
+func (f *soakFleet) waitForReport(ctx context.Context, g *soakTarget, rng *soak.Rand) {
+	for ctx.Err() == nil {
 		time.Sleep(rng.Duration(reportInterval))
+		s := f.store
 		s.mu.Lock()
-		silence := time.Since(s.written[g.key])
-		order, reported := reportOrder(s.rows[g.key].Value)
+		silence, last := time.Since(s.written[g.key]), s.rows[g.key].Value
 		s.mu.Unlock()
-		if !reported || order.Start != g.start || silence >= expiry-2*readInterval {
+		if order, ok := reportOrder(last); !ok || order.Start != g.start || silence >= expiry-2*readInterval {
 			s.write(g.key, g.next("ready"))
-		} else if silence > readInterval {
+		} else if silence > readInterval && f.knows(g) {
 			return
 		}
 	}
 }
 
+// knows reports whether all hosts that are connected know of the target's process.
+func (f *soakFleet) knows(g *soakTarget) bool {
+	for _, table := range f.calmTables(0) {
+		if order, ok := reportOrder([]byte(values(table, time.Now())[g.key])); !ok || order.Start != g.start {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *lateStore) after(version uint64, deleted bool) ([]store.WatchedRow, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -192,7 +202,8 @@
 }
 
 // live runs the target's lives until ctx ends: it reports, is silent for a while, or leaves, with or without a report, and starts again.
-func (g *soakTarget) live(ctx context.Context, s *lateStore, rng *soak.Rand) {
+func (g *soakTarget) live(ctx context.Context, f *soakFleet, rng *soak.Rand) {
+	s := f.store
 	for ctx.Err() == nil {
 		g.serves()
 		for range 2 + rng.IntN(12) {
@@ -216,7 +227,7 @@
 			}
 			s.put(removed(g.key, 0))
 		default:
-			s.waitForReport(g, rng)
+			f.waitForReport(ctx, g, rng)
 			s.put(removed(g.key, 0))
 			g.leaves()
 		}
@@ -356,7 +367,7 @@
 	f.hosts[name].cutOff, f.hosts[name].calm = cutOff, time.Now()
 }
 
-// disturb restarts one host after the other, most often the reader, with a calm time after several of them, until ctx ends.
+// disturb restarts or cuts off one host after the other, most often the reader, with a calm time after several of them, until ctx ends.
 func (f *soakFleet) disturb(ctx context.Context, rng *soak.Rand) {
 	const restarts = 8
 	for n := 1; ctx.Err() == nil; n++ {
@@ -369,6 +380,12 @@
 			name = reader.Host
 		}
 		length := 200*time.Millisecond + rng.Duration(5*time.Second)
+		if rng.Percent(50) {
+			f.cut(name, true)
+			time.Sleep(length)
+			f.cut(name, false)
+			continue
+		}
 		f.stopHost(name)
 		time.Sleep(length)
 		f.startHost(name)
@@ -388,8 +405,8 @@
 	return tables
 }
 
-// lastStart returns when the last host was started.
-func (f *soakFleet) lastStart() (last time.Time) {
+// lastDisturbed returns when the last host was started or connected again.
+func (f *soakFleet) lastDisturbed() (last time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.hosts {
@@ -401,7 +418,7 @@
 // check fails the test if an undisturbed host uses a target that has left, or has not used a serving target for long although no host was
 // disturbed.
 func (f *soakFleet) check(t *testing.T, targets []*soakTarget) {
-	calm := f.lastStart()
+	calm := f.lastDisturbed()
 	for name, table := range f.calmTables(inTouch) {
 		present := values(table, time.Now())
 		for _, g := range targets {
@@ -434,12 +451,12 @@
 	}
 	var running sync.WaitGroup
 	running.Go(func() { s.expire(ctx) })
-	for _, g := range targets {
-		running.Go(func() { g.live(ctx, s, rng) })
-	}
 	for _, name := range f.names {
 		f.startHost(name)
 	}
+	for _, g := range targets {
+		running.Go(func() { g.live(ctx, f, rng) })
+	}
 	running.Go(func() { f.disturb(ctx, rng) })
 	for ctx.Err() == nil && !t.Failed() {
 		time.Sleep(50 * time.Millisecond)
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,8 +39,10 @@
 	// minRetryDelay is the delay after the first failed read; it doubles up to maxRetryDelay.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = time.Second
-	// minOutage is how long reads must fail to count as an outage, after which deleted rows get a grace period.
+	// minOutage is how long the reads of all hosts must fail to count as an outage, after which deleted rows get a grace period.
 	minOutage = 500 * time.Millisecond
+	// maxAskedHosts is the number of hosts that a host asks for what they know, one after the other, before it takes itself for cut off.
+	maxAskedHosts = 3
 	// expiryGrace is how long after an outage the rows of live programs that expired during it may be missing.
 	expiryGrace = 2 * time.Second
 	// peerTimeout limits a call to a peer in any dispatch domain.
@@ -87,15 +90,17 @@
 	tables []*followedTable
 	// pushing holds the tasks that push changes; Run waits for them.
 	pushing conc.WaitGroup
+	// hasHeard is set once another host has answered.
+	hasHeard atomic.Bool
 }
 
 // followedTable is a table with the state of its reads from the platform.
 type followedTable struct {
 	TableOptions
 	*Table
-	// failingSince is when reads of the platform began to fail, or zero. Only readLoop uses it.
-	failingSince time.Time
-	retryDelay   time.Duration
+	// failingSince is when reads of the platform began to fail, or zero, and failedAt when the first of them was sent. Only readLoop uses it.
+	failingSince, failedAt time.Time
+	retryDelay             time.Duration
 	// listAgainAt is when the table must be listed again after the platform was restored from a copy, or zero. Only readLoop uses it.
 	listAgainAt time.Time
 	// age is the age of the copy in seconds.
@@ -191,8 +196,9 @@
 			sleep.For(ctx, fetchInterval/4)
 			continue
 		}
+		sent := time.Now()
 		if err := f.read(ctx, t); err != nil {
-			f.handleReadError(ctx, t, err)
+			f.handleReadError(ctx, t, sent, err)
 			continue
 		}
 		f.endOutage(t)
@@ -211,14 +217,14 @@
 
 // read updates the table from the platform, with a full list if there is no copy or the history was lost, and pushes the
 // changes to the dispatch domain.
-func (f *Follower) read(ctx context.Context, t *followedTable) error {
+func (f *Follower) read(calls context.Context, t *followedTable) error {
 	f.opts.Scope.Counter("reads").Inc(1)
 	after := t.position()
 	wait := t.Wait
 	if !t.failingSince.IsZero() {
 		wait = 0 // detect at once whether the platform answers again
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(readTimeout, wait+waitMargin))
+	ctx, cancel := context.WithTimeout(calls, max(readTimeout, wait+waitMargin))
 	defer cancel()
 	sent := time.Now()
 	u, err := f.fetchUpdate(ctx, t, after, wait)
@@ -228,9 +234,11 @@
 	now := time.Now()
 	u.after = after
 	u.took = answerDelay(now.Sub(sent), wait, len(u.rows) > 0)
-	if u.restored || !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
+	if u.restored || f.endsOutage(calls, t, now) {
 		u.sinceRecovery = time.Millisecond
 	}
+	u.took += time.Since(now)
+	now = time.Now()
 	switch {
 	case u.restored:
 		log.Warn().Str("step", "watch").Str("table", t.name).Uint64("version", u.version).Uint64("previous", after).
@@ -240,11 +248,35 @@
 		t.listAgainAt = time.Time{}
 	}
 	if changed := t.merge(u, now); len(changed) > 0 {
-		f.startPush(ctx, t, changed)
+		f.startPush(calls, t, changed)
 	}
 	return nil
 }
 
+// endsOutage reports whether a read ends an outage of the platform. Failed reads of this host alone are none: the platform refused it, or it was
+// cut off. So it asks other hosts first, whose copies tell whether the platform could be read. If none answers, it was cut off, unless no
+// host ever did.
+func (f *Follower) endsOutage(ctx context.Context, t *followedTable, now time.Time) bool {
+	if t.failingSince.IsZero() || now.Sub(t.failingSince) <= minOutage {
+		return false
+	}
+	if !f.askOthers(ctx) {
+		return !f.hasHeard.Load()
+	}
+	age, _ := t.Age(now)
+	return age >= now.Sub(t.failedAt)
+}
+
+// askOthers fetches the tables from other hosts until one answers, and reports whether one has.
+func (f *Follower) askOthers(ctx context.Context) bool {
+	for range maxAskedHosts {
+		if f.fetchFromRandomPeer(ctx) {
+			return true
+		}
+	}
+	return false
+}
+
 // answerDelay returns the time in which the platform has sent its answer to a read that took some time. If a long poll has found a change it was at
 // most as long ago as this host handles answers late, which is not known; it counts as none.
 func answerDelay(took, wait time.Duration, changed bool) time.Duration {
@@ -271,11 +303,10 @@
 }
 
 // handleReadError records the start of an outage, fetches the tables from a random peer, and waits with exponential backoff.
-func (f *Follower) handleReadError(ctx context.Context, t *followedTable, err error) {
+func (f *Follower) handleReadError(ctx context.Context, t *followedTable, sent time.Time, err error) {
 	f.opts.Scope.Counter("read_failures").Inc(1)
-	now := time.Now()
 	if t.failingSince.IsZero() {
-		t.failingSince = now
+		t.failingSince, t.failedAt = time.Now(), sent
 		t.retryDelay = minRetryDelay
 		log.Warn().Err(err).Str("step", "watch").Str("table", t.name).Uint64("version", t.position()).Msg("table cannot be read")
 	}
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -59,6 +59,20 @@
 	f.rows = append(f.rows, put(key, value, f.version))
 }
 
+func (f *feed) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.rows = append(f.rows, removed(key, f.version))
+}
+
+// setRefused makes the platform refuse a host, or serve it again.
+func (f *feed) setRefused(r *reader, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.refuse = refused
+}
+
 // reader is the access of one host to the feed. Reads fail while refuse is set.
 type reader struct {
 	*feed
@@ -108,6 +122,8 @@
 	down string
 	// silent is a host that answers no calls.
 	silent string
+	// cutOff is a host whose calls in both directions fail.
+	cutOff string
 	// crossings counts the calls between places.
 	crossings int
 	// answerDelay is the time after which answers arrive.
@@ -121,12 +137,19 @@
 	if placeOf(from) != placeOf(to) {
 		n.crossings++
 	}
-	if to == n.down {
+	if to == n.down || from == n.cutOff || to == n.cutOff {
 		return errors.New("no answer")
 	}
 	return nil
 }
 
+// setCutOff cuts off a host, or none.
+func (n *network) setCutOff(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutOff = host
+}
+
 // placeOf returns the place of a host, which follows its name after a slash.
 func placeOf(host string) string {
 	_, place, _ := strings.Cut(host, "/")
@@ -235,6 +258,94 @@
 	})
 }
 
+// Guards against hosts that keep targets which have left because one of them was refused by the platform: it took that for an outage, in which the
+// entries of living targets expire, and told the others so (review/lab-3/days/refused-hosts.toml).
+func TestRefusedHostIsNoOutage(t *testing.T) {
+	for _, refused := range []string{"h1", "h2", "h3"} {
+		t.Run(refused, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				f := &feed{}
+				f.put("a", "1")
+				f.put("b", "1")
+				tables, readers := startFollowers(t, f, "h1", "h2", "h3")
+				time.Sleep(3 * time.Second)
+				f.setRefused(readers[refused], true)
+				time.Sleep(3500 * time.Millisecond)
+				f.remove("a")
+				time.Sleep(500 * time.Millisecond)
+				f.setRefused(readers[refused], false)
+				time.Sleep(1200 * time.Millisecond)
+				f.remove("b")
+				time.Sleep(500 * time.Millisecond)
+				for host, table := range tables {
+					if got := values(table, time.Now()); len(got) > 0 {
+						t.Errorf("host %s keeps %v", host, got)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a host that was cut off from all others and takes that for an outage of the platform: it keeps targets which left meanwhile, and
+// grants permits for them (review/8).
+func TestCutOffHostIsNoOutage(t *testing.T) {
+	for _, host := range []string{"h1", "h2", "h3"} {
+		for length := 4 * time.Second; length < 5500*time.Millisecond; length += 100 * time.Millisecond {
+			bubble.Run(t, func(t *testing.T) {
+				f := &feed{}
+				f.put("a", "1")
+				n := &network{handlers: map[string]map[string]peer.Handler{}}
+				tables, readers := startFollowersOn(t, n, f, "h1", "h2", "h3")
+				time.Sleep(3 * time.Second)
+				f.setRefused(readers[host], true)
+				n.setCutOff(host)
+				time.Sleep(time.Second)
+				f.remove("a")
+				time.Sleep(length)
+				f.setRefused(readers[host], false)
+				n.setCutOff("")
+				time.Sleep(1300 * time.Millisecond) // the longest time between two reads that fail, and a poll
+				if got := values(tables[host], time.Now()); len(got) > 0 {
+					t.Errorf("host %s keeps %v after it was cut off for %v", host, got, length)
+				}
+			})
+		}
+	}
+}
+
+// Guards against living targets that are dropped at the end of an outage of the platform, in which their entries expired.
+func TestOutageKeepsExpiredRows(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{}
+		f.put("a", "1")
+		f.put("b", "1")
+		tables, readers := startFollowers(t, f, "h1", "h2", "h3")
+		time.Sleep(3 * time.Second)
+		for _, r := range readers {
+			f.setRefused(r, true)
+		}
+		time.Sleep(6 * time.Second)
+		f.remove("a")
+		f.remove("b")
+		for _, r := range readers {
+			f.setRefused(r, false)
+		}
+		for range 18 {
+			time.Sleep(100 * time.Millisecond)
+			for _, table := range tables {
+				is.Equal(len(values(table, time.Now())), 2)
+			}
+		}
+		f.put("a", "1")
+		time.Sleep(2 * time.Second)
+		for _, table := range tables {
+			is.Equal(values(table, time.Now()), map[string]string{"a": "1"})
+		}
+	})
+}
+
 // Guards against a stale copy on a host that the platform refuses. The host may be the reader of its domain; then the others
 // must not depend on it.
 func TestRefusedHostsFetchFromPeers(t *testing.T) {
