--- a/pkg/permit/client.go
+++ b/pkg/permit/client.go
@@ -80,7 +80,7 @@
 	for attempt := 0; ; {
 		req.ExcludeTargets = slices.Concat(excluded, m.notices.excluded(time.Now()))
 		if attempt > 0 {
-			req.ExcludeTargets = append(req.ExcludeTargets, m.drainingTargets(req.Service)...)
+			req.ExcludeTargets = append(req.ExcludeTargets, m.leavingTargets(req.Service)...)
 		}
 		for _, host := range m.candidates(req.Service, state) {
 			grant, err, answered := m.acquireFrom(ctx, state, req, host, attempt)
@@ -257,7 +257,7 @@
 	held := &heldPermit{
 		key: result.key, target: result.grant.Target, class: result.grant.Class, deadline: req.Deadline, fingerprint: req.Fingerprint,
 	}
-	if replaced || m.notices.forbids(held.target, time.Now()) || m.isDraining(held.target) || !state.addHeld(held) {
+	if replaced || m.notices.forbids(held.target, time.Now()) || m.isLeaving(held.target) || !state.addHeld(held) {
 		m.returnUnused(req, result)
 		return nil, nil, false
 	}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -79,6 +79,7 @@
 	acquired acquireMetrics
 	poison   *poison.Registry
 	notices  *notices
+	removals *removals
 
 	mu     sync.Mutex
 	closed bool
@@ -116,7 +117,7 @@
 		opts: o, self: o.View.Self(), ctx: ctx, cancel: cancelAll, scope: scope, acquired: newAcquireMetrics(scope),
 		dispatchers: map[string]*dispatcher{}, clientStates: map[string]*clientState{},
 		knownHosts: map[string]bool{o.View.Self().Host: true}, backoffs: map[string]restartBackoff{},
-		wake: make(chan struct{}, 1), notices: newNotices(o.Store),
+		wake: make(chan struct{}, 1), notices: newNotices(o.Store), removals: newRemovals(),
 		poison: poison.New(poison.Options{
 			View: o.View, Caller: o.Caller, Registrar: o.Registrar, Table: o.Table, Scope: o.Scope,
 		}),
@@ -163,6 +164,7 @@
 	}
 	for m.ctx.Err() == nil {
 		configChanged, viewChanged := m.opts.Store.Changed(), m.opts.View.Changed()
+		m.removals.update(m.opts.Store.Current(), time.Now())
 		m.reconcileDispatchers()
 		select {
 		case <-configChanged:
--- a/pkg/permit/notice.go
+++ b/pkg/permit/notice.go
@@ -170,15 +170,15 @@
 	return ok && known.binds(now)
 }
 
-// isDraining reports whether a target is draining in the configuration of this host. Its dispatcher may have an older one: a host must not send
-// a request to a target of which it knows itself that it leaves.
-func (m *Manager) isDraining(target string) bool {
-	return isDraining(configOf(m.opts.Store.Current(), target))
+// isLeaving reports whether a target is draining in the configuration of this host or was removed from it. Its dispatcher may have an older one:
+// a host must not send a request to a target of which it knows itself that it leaves.
+func (m *Manager) isLeaving(target string) bool {
+	return isDraining(configOf(m.opts.Store.Current(), target)) || m.removals.has(target)
 }
 
-// drainingTargets returns the targets of a dispatcher's service that are draining in the configuration of this host.
-func (m *Manager) drainingTargets(key string) []string {
-	var list []string
+// leavingTargets returns the targets of a dispatcher's service that are draining in the configuration of this host or were removed from it.
+func (m *Manager) leavingTargets(key string) []string {
+	list := m.removals.of(ServiceOf(key))
 	for _, t := range m.opts.Store.Current().Targets(ServiceOf(key), m.opts.FailureDomain) {
 		if isDraining(t) {
 			list = append(list, t.GetName())
--- a/pkg/permit/notice_test.go
+++ b/pkg/permit/notice_test.go
@@ -165,6 +165,44 @@
 	})
 }
 
+// Guards against a request to a target that was removed, from a host that knows it, because the dispatcher has an older configuration: a dispatcher's
+// host may have been cut off (review/8).
+func TestPermitForARemovedTargetIsReturned(t *testing.T) {
+	run(t, 1, 4, permittest.Objects(threeTargets), func(d *domain, is *is.I) {
+		owner, _ := d.ownerAndOthers("lookup")
+		var names []string
+		var kept []*configv1.Object
+		for _, o := range permittest.Objects(threeTargets) {
+			if o.GetTarget() != nil {
+				names = append(names, o.GetTarget().GetName())
+			}
+			if o.GetTarget().GetName() == "" || len(names) > 1 {
+				kept = append(kept, o)
+			}
+		}
+		newer := config.NewStore()
+		newer.Set(config.NewSnapshot(8, permittest.Objects(threeTargets)))
+		d.Configure = func(o *permit.Options) { o.Store = newer }
+		informed := d.Add("informed")
+		informed.Start()
+		time.Sleep(2 * time.Second)
+		present, _ := d.ownerAndOthers("lookup")
+		is.Equal(present.Member.Host, owner.Member.Host) // the dispatcher has the older configuration
+		is.Equal(d.grantsOf(is, informed, names[0]), threeTargets.Slots)
+
+		newer.Set(config.NewSnapshot(9, kept))
+		time.Sleep(100 * time.Millisecond)
+		for range 20 {
+			g := d.take(is, informed)
+			is.True(g.Target != names[0])
+			g.Release(permit.Observation{Outcome: ok, Total: time.Millisecond})
+		}
+		newer.Set(config.NewSnapshot(10, permittest.Objects(threeTargets))) // it is back
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(d.grantsOf(is, informed, names[0]), threeTargets.Slots)
+	})
+}
+
 // Guards against a request to a target that leaves, from a host that knows it, because the dispatcher has an older configuration: a dispatcher's host may
 // be short of processor time.
 func TestPermitForADrainingTargetIsReturned(t *testing.T) {
