--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -34,7 +34,7 @@
 	return m
 }
 
-// isContradicted reports whether a host may have a row with a higher version that was written before this one.
+// isContradicted reports whether a host may have decided for another row that has a higher version.
 func (r *row) isContradicted(now time.Time) bool {
 	return !r.contradictedAt.IsZero() && now.Sub(r.contradictedAt) < maxWriteDelay
 }
@@ -77,7 +77,8 @@
 // decodeUpdate converts a message of a peer.
 func decodeUpdate(m *peerv1.WatchedTable, from string) update {
 	u := update{
-		from: from, version: m.GetVersion(), full: m.GetWhole(), historyFrom: m.GetVersion(), marks: map[string]mark{}, age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		from: from, version: m.GetVersion(), full: m.GetWhole(), historyFrom: m.GetVersion(), marks: map[string]mark{},
+		age:           time.Duration(m.GetAgeMs()) * time.Millisecond,
 		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
 	if m.HistoryFrom != nil {
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -217,40 +217,45 @@
 
 // read updates the table from the platform, with a full list if there is no copy or the history was lost, and pushes the
 // changes to the dispatch domain.
-func (f *Follower) read(calls context.Context, t *followedTable) error {
+func (f *Follower) read(ctx context.Context, t *followedTable) error {
 	f.opts.Scope.Counter("reads").Inc(1)
 	after := t.position()
 	wait := t.Wait
 	if !t.failingSince.IsZero() {
 		wait = 0 // detect at once whether the platform answers again
 	}
-	ctx, cancel := context.WithTimeout(calls, max(readTimeout, wait+waitMargin))
+	readCtx, cancel := context.WithTimeout(ctx, max(readTimeout, wait+waitMargin))
 	defer cancel()
 	sent := time.Now()
-	u, err := f.fetchUpdate(ctx, t, after, wait)
+	u, err := f.fetchUpdate(readCtx, t, after, wait)
 	if err != nil {
 		return steperr.Wrap(err, "read table "+t.name, "")
 	}
 	now := time.Now()
 	u.after = after
 	u.took = answerDelay(now.Sub(sent), wait, len(u.rows) > 0)
-	if u.restored || f.endsOutage(calls, t, now) {
+	if u.restored || f.endsOutage(ctx, t, now) {
 		u.sinceRecovery = time.Millisecond
 	}
 	u.took += time.Since(now)
 	now = time.Now()
+	t.planList(u, now)
+	if changed := t.merge(u, now); len(changed) > 0 {
+		f.startPush(ctx, t, changed)
+	}
+	return nil
+}
+
+// planList plans another list of the table after one of a restored copy.
+func (t *followedTable) planList(u update, now time.Time) {
 	switch {
 	case u.restored:
-		log.Warn().Str("step", "watch").Str("table", t.name).Uint64("version", u.version).Uint64("previous", after).
+		log.Warn().Str("step", "watch").Str("table", t.name).Uint64("version", u.version).Uint64("previous", u.after).
 			Msg("the platform was restored from a copy")
 		t.listAgainAt = now.Add(expiryGrace)
 	case u.full:
 		t.listAgainAt = time.Time{}
 	}
-	if changed := t.merge(u, now); len(changed) > 0 {
-		f.startPush(calls, t, changed)
-	}
-	return nil
 }
 
 // endsOutage reports whether a read ends an outage of the platform. Failed reads of this host alone are none: the platform refused it, or it was
