Give each decision on late writes a test of its own

Nothing noticed the others: the four changes of (confirmed processes, order within a process, the same write after a refusal, repetition and the pause of reads), later refused values, the reader that asks another host, the position of what was heard, a host that was cut off from all others, and the expiry that the platform's settings give.

TestTombstonesTellTheLastValue did not fail without its fix any more either: since a removed process stays away, the value does not decide there. It has a second case, an expired row. TestLivingTargetIsAcceptedAfterAWhile ends after 20 reports. No assertion was changed or removed.

No code of the product is changed.

--- a/pkg/watch/order_test.go
+++ b/pkg/watch/order_test.go
@@ -86,6 +86,13 @@
 	other.hear(reader)
 	other.read(7, put("a", report(1, 9, "ready"), 7)) // now this host reads; sequence 9 is later than the 1 that it got
 	is.Equal(other.values(), map[string]string{})
+
+	reader = expired(now)
+	other = newOrderedCopy("h2", reader.now)
+	other.list(1, put("a", report(1, 1, "ready"), 1))
+	other.hear(reader)
+	other.read(4, put("a", report(1, 4, "ready"), 4)) // the process may come back, but not with a report from before its expiry
+	is.Equal(other.values(), map[string]string{})
 }
 
 // Guards against a target that is missing for longer than necessary after its row expired: it was silent, but it has not left.
@@ -178,7 +185,7 @@
 	reader.list(1, put("a", report(9, 50, "draining"), 1))
 	other.hear(reader)
 	version := uint64(1)
-	for sequence := 1; ; sequence++ {
+	for sequence := range 20 {
 		version++
 		reader.now = reader.now.Add(1500 * time.Millisecond)
 		other.now = reader.now
--- a/pkg/watch/outage_test.go
+++ b/pkg/watch/outage_test.go
@@ -66,6 +66,44 @@
 	}
 }
 
+// Guards against a host that takes its own trouble for an outage because it reaches the platform again before it reaches another host.
+func TestHostWithoutOthersIsNoOutage(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := &feed{}
+		f.put("a", "1")
+		n := &network{handlers: map[string]map[string]peer.Handler{}}
+		tables, readers := startFollowersOn(t, n, f, "h1", "h2", "h3")
+		time.Sleep(3 * time.Second)
+		f.setRefused(readers["h1"], true)
+		n.setCutOff("h1")
+		time.Sleep(3 * time.Second)
+		f.remove("a")
+		f.setRefused(readers["h1"], false)
+		time.Sleep(maxRetryDelay + 100*time.Millisecond)
+		if got := values(tables["h1"], time.Now()); len(got) > 0 {
+			t.Errorf("the host keeps %v", got)
+		}
+	})
+}
+
+// Guards against targets that are dropped at the end of an outage by a host that has never known another one, and cannot ask any.
+func TestOutageOfASingleHost(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := &feed{}
+		f.put("a", "1")
+		tables, readers := startFollowers(t, f, "h1")
+		time.Sleep(3 * time.Second)
+		f.setRefused(readers["h1"], true)
+		time.Sleep(6 * time.Second)
+		f.remove("a")
+		f.setRefused(readers["h1"], false)
+		time.Sleep(maxRetryDelay + 100*time.Millisecond)
+		if got := values(tables["h1"], time.Now()); len(got) != 1 {
+			t.Errorf("the host keeps %v", got)
+		}
+	})
+}
+
 // Guards against living targets that are dropped at the end of an outage of the platform, in which their entries expired.
 func TestOutageKeepsExpiredRows(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
--- a/pkg/watch/table_soak_test.go
+++ b/pkg/watch/table_soak_test.go
@@ -248,11 +248,12 @@
 	store *lateStore
 }
 
-// soakFollower is one host. cutOff hosts reach neither the platform nor other hosts.
+// soakFollower is one host. cutOff hosts reach neither the platform nor other hosts, isolated ones only the platform.
 type soakFollower struct {
 	name     string
 	up       bool
 	cutOff   bool
+	isolated bool
 	calm     time.Time
 	table    *Table
 	handlers map[string]peer.Handler
@@ -264,7 +265,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a, b := f.hosts[from], f.hosts[to]
-	return a.up && b.up && (from == to || !a.cutOff && !b.cutOff)
+	return a.up && b.up && (from == to || !a.cutOff && !b.cutOff && !a.isolated && !b.isolated)
 }
 
 // soakView is a host's view of the fleet: the hosts that it reaches.
@@ -367,6 +368,12 @@
 	f.hosts[name].cutOff, f.hosts[name].calm = cutOff, time.Now()
 }
 
+func (f *soakFleet) isolate(name string, isolated bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[name].isolated = isolated
+}
+
 // disturb restarts or cuts off one host after the other, most often the reader, with a calm time after several of them, until ctx ends.
 func (f *soakFleet) disturb(ctx context.Context, rng *soak.Rand) {
 	const restarts = 8
