--- a/pkg/watch/confirmed_test.go
+++ b/pkg/watch/confirmed_test.go
@@ -51,7 +51,7 @@
 	want := map[string]string{"a": report(1, 7, "draining")}
 	is.Equal(third.values(), want)
 	old := removedOnly("h2", reader.now)
-	third.merge(decodeUpdate(old.rowsSince(0, true, reader.now), "h2"), reader.now)
+	third.merge(decodeUpdate(old.rowsSince(0, true, reader.now), "h2", 0), reader.now)
 	is.Equal(third.values(), want)
 }
 
--- a/pkg/watch/history_test.go
+++ b/pkg/watch/history_test.go
@@ -71,7 +71,7 @@
 	reader.list(20, put("a", "1", 4))
 	other.hear(reader)
 	pushed.list(22, put("a", "1", 4), put("b", "1", 22))
-	other.merge(decodeUpdate(pushed.rowsMessage(pushedRows("b"), now), "h3"), now)
+	other.merge(decodeUpdate(pushed.rowsMessage(pushedRows("b"), now), "h3", 0), now)
 	is.Equal(len(other.values()), 2)
 	reader.list(30, put("a", "1", 4)) // b was deleted meanwhile
 	other.hear(reader)
@@ -106,9 +106,7 @@
 	other := newOrderedCopy("h2", now)
 	earlier := reader.rowsSince(0, false, now)
 	earlier.Whole, earlier.HistoryFrom = false, nil
-	u := decodeUpdate(earlier, "h1")
-	u.full = true
-	other.merge(u, now)
+	other.merge(decodeUpdate(earlier, "h1", 0), now)
 	is.Equal(other.position(), uint64(20))
 	is.True(other.rowsSince(5, true, now).GetWhole())
 }
@@ -122,9 +120,7 @@
 	other.hear(reader)
 	m := reader.rowsSince(other.heardPosition(), true, now)
 	other.forgetHeard()
-	u := decodeUpdate(m, "h1")
-	u.after = 5
-	other.merge(u, now)
+	other.merge(decodeUpdate(m, "h1", 5), now)
 	is.Equal(other.heardPosition(), uint64(0))
 }
 
--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -74,10 +74,12 @@
 	return uint32(elapsed.Milliseconds()) + 1
 }
 
-// decodeUpdate converts a message of a peer.
-func decodeUpdate(m *peerv1.WatchedTable, from string) update {
+// decodeUpdate converts a message of a host, which answers a request for the changes after a version or is a push. Hosts of earlier versions don't
+// state that an answer to a request for all rows is the whole table.
+func decodeUpdate(m *peerv1.WatchedTable, from string, after uint64) update {
 	u := update{
-		from: from, version: m.GetVersion(), full: m.GetWhole(), historyFrom: m.GetVersion(), marks: map[string]mark{},
+		from: from, version: m.GetVersion(), after: after, full: m.GetWhole() || after == 0 && m.GetVersion() > 0,
+		historyFrom: m.GetVersion(), marks: map[string]mark{},
 		age:           time.Duration(m.GetAgeMs()) * time.Millisecond,
 		sinceRecovery: time.Duration(m.GetReturnedMs()) * time.Millisecond,
 	}
--- a/pkg/watch/order_test.go
+++ b/pkg/watch/order_test.go
@@ -59,10 +59,8 @@
 
 // hear asks another host.
 func (c *orderedCopy) hear(from *orderedCopy) {
-	u := decodeUpdate(from.rowsSince(c.heardPosition(), true, c.now), from.host)
-	u.after = c.heardPosition()
-	u.full = u.full || u.after == 0 && u.version > 0
-	c.merge(u, c.now)
+	after := c.heardPosition()
+	c.merge(decodeUpdate(from.rowsSince(after, true, c.now), from.host, after), c.now)
 }
 
 // values returns the rows that are present.
--- a/pkg/watch/peers.go
+++ b/pkg/watch/peers.go
@@ -113,9 +113,8 @@
 	now := time.Now()
 	for _, m := range resp.GetTables() {
 		if t := f.table(m.GetTable()); t != nil {
-			u := decodeUpdate(m, host.Host)
-			u.took, u.after = now.Sub(sent), after[t.name]
-			u.full = u.full || u.after == 0 && u.version > 0
+			u := decodeUpdate(m, host.Host, after[t.name])
+			u.took = now.Sub(sent)
 			if u.version == 0 {
 				t.forgetHeard() // the changes since then are not known, so ask for all rows
 			}
@@ -157,7 +156,7 @@
 		return nil, steperr.Wrap(err, "decode pushed rows of a watched table", from.Host)
 	}
 	if t := f.table(push.GetTable().GetTable()); t != nil {
-		t.merge(decodeUpdate(push.GetTable(), from.Host), time.Now())
+		t.merge(decodeUpdate(push.GetTable(), from.Host, 0), time.Now())
 	}
 	if push.GetPassOn() {
 		self := f.opts.View.Self()
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -363,7 +363,7 @@
 	wasPresent := t.delete(a.Key, a.Version, now)
 	tombstone := t.rows[a.Key]
 	tombstone.noteLastValue(a)
-	if a.from != "" && a.refused != nil && current == nil && a.Version < t.version {
+	if a.refused != nil && current == nil && a.Version < t.version {
 		t.delete(a.Key, t.version, now) // the row that was refused is not in this copy either
 	}
 	if tombstone.version == a.Version {
--- a/pkg/watch/table_test.go
+++ b/pkg/watch/table_test.go
@@ -113,13 +113,13 @@
 	reader.merge(update{rows: []store.WatchedRow{{Key: "a", Version: 3, Deleted: true}}, version: 3}, now)
 	later := now.Add(2 * tombstoneRetention)
 	reader.merge(update{rows: []store.WatchedRow{put("c", "1", 4)}, version: 4}, later)
-	away.merge(decodeUpdate(reader.rowsSince(away.position(), false, later), "h1"), later)
+	away.merge(decodeUpdate(reader.rowsSince(away.position(), false, later), "h1", away.position()), later)
 	if _, kept := values(away, later)["a"]; kept {
 		is.Equal(away.position(), uint64(2)) // the next read of the platform tells the deletion
 	}
 	is.Equal(values(away, later)["c"], "1") // until then the host has at least the newer rows
 	fresh := newTable("t", equal)
-	fresh.merge(decodeUpdate(reader.rowsSince(0, false, later), "h1"), later)
+	fresh.merge(decodeUpdate(reader.rowsSince(0, false, later), "h1", 0), later)
 	is.Equal(fresh.position(), uint64(4)) // a host without rows needs no deletions
 }
 
@@ -170,11 +170,11 @@
 		reader.merge(update{rows: []store.WatchedRow{put("a", value, version)}, version: version}, now)
 	}
 	step("3 at 0", 1)
-	other.merge(decodeUpdate(reader.rowsSince(0, false, now), "h1"), now)
+	other.merge(decodeUpdate(reader.rowsSince(0, false, now), "h1", 0), now)
 	step("1 at 2", 2)
 	step("3 at 3", 3)
 	changed := other.Changed()
-	other.merge(decodeUpdate(reader.rowsSince(1, false, now), "h1"), now)
+	other.merge(decodeUpdate(reader.rowsSince(1, false, now), "h1", 1), now)
 	select {
 	case <-changed:
 	default:
