--- a/pkg/permit/notice_test.go
+++ b/pkg/permit/notice_test.go
@@ -165,11 +165,23 @@
 	})
 }
 
+// addInformed adds a host with a newer configuration than that of the dispatcher of lookup, and returns it.
+func (d *domain) addInformed(is *is.I, newer *config.Store) *permittest.Host {
+	is.Helper()
+	owner, _ := d.ownerAndOthers("lookup")
+	d.Configure = func(o *permit.Options) { o.Store = newer }
+	informed := d.Add("informed")
+	informed.Start()
+	time.Sleep(2 * time.Second)
+	present, _ := d.ownerAndOthers("lookup")
+	is.Equal(present.Member.Host, owner.Member.Host)
+	return informed
+}
+
 // Guards against a request to a target that was removed, from a host that knows it, because the dispatcher has an older configuration: a dispatcher's
 // host may have been cut off (review/8).
 func TestPermitForARemovedTargetIsReturned(t *testing.T) {
 	run(t, 1, 4, permittest.Objects(threeTargets), func(d *domain, is *is.I) {
-		owner, _ := d.ownerAndOthers("lookup")
 		var names []string
 		var kept []*configv1.Object
 		for _, o := range permittest.Objects(threeTargets) {
@@ -182,12 +194,7 @@
 		}
 		newer := config.NewStore()
 		newer.Set(config.NewSnapshot(8, permittest.Objects(threeTargets)))
-		d.Configure = func(o *permit.Options) { o.Store = newer }
-		informed := d.Add("informed")
-		informed.Start()
-		time.Sleep(2 * time.Second)
-		present, _ := d.ownerAndOthers("lookup")
-		is.Equal(present.Member.Host, owner.Member.Host) // the dispatcher has the older configuration
+		informed := d.addInformed(is, newer)
 		is.Equal(d.grantsOf(is, informed, names[0]), threeTargets.Slots)
 
 		newer.Set(config.NewSnapshot(9, kept))
@@ -207,7 +214,7 @@
 // be short of processor time.
 func TestPermitForADrainingTargetIsReturned(t *testing.T) {
 	run(t, 1, 4, permittest.Objects(threeTargets), func(d *domain, is *is.I) {
-		owner, others := d.ownerAndOthers("lookup")
+		_, others := d.ownerAndOthers("lookup")
 		objects := permittest.Objects(threeTargets)
 		var names []string
 		for _, o := range objects {
@@ -220,12 +227,7 @@
 		}
 		newer := config.NewStore()
 		newer.Set(config.NewSnapshot(9, objects))
-		d.Configure = func(o *permit.Options) { o.Store = newer }
-		informed := d.Add("informed")
-		informed.Start()
-		time.Sleep(2 * time.Second)
-		present, _ := d.ownerAndOthers("lookup")
-		is.Equal(present.Member.Host, owner.Member.Host) // the dispatcher has the older configuration
+		informed := d.addInformed(is, newer)
 
 		last := d.request("lookup", 2*time.Second)
 		last.ExcludeTargets = names[1:]
--- a/pkg/permit/removed.go
+++ b/pkg/permit/removed.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/config"
-	configv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/config/v1"
 )
 
 // removalRetention is how long a host remembers that a target was removed. Dispatchers have the same configuration long before that.
@@ -14,8 +13,8 @@
 // removals holds the targets that were removed from the configuration of this host.
 type removals struct {
 	mu sync.Mutex
-	// present holds the targets of the last configuration by name, and removed those that are missing since.
-	present map[string]*configv1.Target
+	// last is the last configuration, and removed holds the targets that are missing since, by name.
+	last    *config.Snapshot
 	removed map[string]removal
 }
 
@@ -25,28 +24,31 @@
 }
 
 func newRemovals() *removals {
-	return &removals{present: map[string]*configv1.Target{}, removed: map[string]removal{}}
+	return &removals{last: config.NewSnapshot(0, nil), removed: map[string]removal{}}
 }
 
 // update records the targets that a configuration lacks and the last one had.
 func (r *removals) update(snap *config.Snapshot, now time.Time) {
-	present := map[string]*configv1.Target{}
-	for _, o := range snap.List(config.KindTarget) {
-		present[o.GetTarget().GetName()] = o.GetTarget()
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, t := range r.present {
-		if present[name] == nil {
-			r.removed[name] = removal{t.GetService(), now}
-		}
+	if snap != r.last {
+		r.addMissing(snap, now)
 	}
 	for name, gone := range r.removed {
-		if present[name] != nil || now.Sub(gone.at) > removalRetention {
+		if configOf(snap, name) != nil || now.Sub(gone.at) > removalRetention {
 			delete(r.removed, name)
 		}
 	}
-	r.present = present
+}
+
+// addMissing adds the targets that a configuration lacks. r.mu must be held.
+func (r *removals) addMissing(snap *config.Snapshot, now time.Time) {
+	for _, o := range r.last.List(config.KindTarget) {
+		if t := o.GetTarget(); configOf(snap, t.GetName()) == nil {
+			r.removed[t.GetName()] = removal{t.GetService(), now}
+		}
+	}
+	r.last = snap
 }
 
 // has reports whether a target was removed.
