--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -269,9 +269,7 @@
 				f.put("a", "1")
 				tables, readers := startFollowers(t, f, "h1", "h2", "h3")
 				time.Sleep(3 * time.Second)
-				f.mu.Lock()
-				readers[refused].refuse = true
-				f.mu.Unlock()
+				f.setRefused(readers[refused], true)
 				time.Sleep(100 * time.Millisecond)
 				f.put("b", "2")
 				time.Sleep(2400 * time.Millisecond) // a change of the configuration is in force within 2.5 s
@@ -478,11 +476,9 @@
 		if lag := largest(20 * time.Second); lag > limit {
 			t.Errorf("lag of %v without a fault", lag)
 		}
-		f.mu.Lock()
 		for _, r := range readers {
-			r.refuse = true
+			f.setRefused(r, true)
 		}
-		f.mu.Unlock()
 		if lag := largest(20 * time.Second); lag > limit {
 			t.Errorf("lag of %v during an outage", lag)
 		}
