--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -48,8 +48,8 @@
 	// stopWatching ends watchContext. It returns false if the context has ended before.
 	stopWatching func() bool
 	closed       atomic.Bool
-	// writeDone is closed when the goroutine that writes the request ends. It is nil if the request is written synchronously.
-	writeDone chan struct{}
+	// write is the writing of the present request in a goroutine of its own; nil if the request is written synchronously.
+	write *backgroundWrite
 }
 
 func newConn(nc net.Conn, client *Client, o Options) *conn {
@@ -137,7 +137,7 @@
 		c.echoesID = c.echoesID || match == MatchID
 		if match != MatchOther {
 			c.reusableUntil = time.Now().Add(keepAliveTimeout(resp.Header))
-			b := &responseBody{ReadCloser: resp.Body, conn: c, reusable: c.reusable(resp)}
+			b := &responseBody{ReadCloser: resp.Body, conn: c, reusable: c.reusable(resp), closeDelimited: closeDelimited(resp)}
 			if resp.Body == http.NoBody {
 				b.release(true)
 			} else {
@@ -166,25 +166,14 @@
 // writeRequest writes the request. A request with a body that is larger than the write buffer or of unknown length is written in
 // a goroutine, because a target may respond before it has read the body.
 func (c *conn) writeRequest(req *http.Request) error {
-	c.writeDone = nil
+	c.write = nil
 	if req.Body == nil || req.ContentLength >= 0 && req.ContentLength <= writeBufferBytes {
 		if err := req.Write(c.writer); err != nil {
 			return err
 		}
 		return c.writer.Flush()
 	}
-	done := make(chan struct{})
-	c.writeDone = done
-	go func() {
-		defer close(done)
-		err := req.Write(c.writer)
-		if err == nil {
-			err = c.writer.Flush()
-		}
-		if err != nil {
-			c.reset() // a partly written request makes the connection unusable
-		}
-	}()
+	c.write = startWrite(req, c)
 	return nil
 }
 
@@ -206,7 +195,7 @@
 // drainMismatched reads the body of a response that belongs to another request. It returns an error if the connection cannot
 // carry a further response, or if the body has more than maxMismatchedBytes.
 func drainMismatched(resp *http.Response) error {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.Close || closeDelimited(resp) {
 		return errors.New("it ends the connection")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes+1))
@@ -216,24 +205,18 @@
 	return err
 }
 
+// closeDelimited reports whether the body of the response ends with the connection.
+func closeDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // reusable reports whether the connection can carry another request after the response.
 func (c *conn) reusable(resp *http.Response) bool {
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return !c.dedicated && !c.carried.full() && !resp.Close && !closeDelimited && resp.StatusCode != http.StatusSwitchingProtocols
+	return !c.dedicated && !c.carried.full() && !resp.Close && !closeDelimited(resp) && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
 // requestWritten reports whether the whole request has been written.
-func (c *conn) requestWritten() bool {
-	if c.writeDone == nil {
-		return true
-	}
-	select {
-	case <-c.writeDone:
-		return true
-	default:
-		return false
-	}
-}
+func (c *conn) requestWritten() bool { return c.write == nil || c.write.complete() }
 
 // keepAliveTimeout returns how long a connection may be kept idle: idleTimeout, or less if the target's Keep-Alive header states
 // a short timeout.
@@ -258,11 +241,18 @@
 	io.ReadCloser
 	conn     *conn
 	reusable bool
-	once     sync.Once
+	// closeDelimited is set for a body that ends with the connection.
+	closeDelimited bool
+	once           sync.Once
 }
 
+// Read reads the body. The end of a connection is the end of a body only if the request was written as a whole: the kernel tells a reset
+// once, and if the writer of the request learns of it, the reader sees a plain end.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.closeDelimited && !b.conn.finishWrite() {
+		err = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the request was written")
+	}
 	if err != nil {
 		b.release(errors.Is(err, io.EOF))
 	}
--- a/pkg/tunnel/serve.go
+++ b/pkg/tunnel/serve.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
@@ -77,12 +79,47 @@
 	if err := control.Flush(); err != nil {
 		return err
 	}
+	out := &targetWriter{target: target}
 	go func() {
 		// The copy ends when the other host closes its side, which it does at the latest after the end of the response.
-		_, _ = io.Copy(target, r.Body)
+		_, _ = io.Copy(out, r.Body)
 		_ = target.Close()
 	}()
-	return copyAndFlush(w, control, target)
+	if err := copyAndFlush(w, control, target); err != nil {
+		return err
+	}
+	return out.finish()
+}
+
+// targetWriter writes to a target and keeps the first error. The kernel tells a reset once: if the writer learns of it, the reader sees a plain
+// end.
+type targetWriter struct {
+	target net.Conn
+	// mu is held during a write, so that finish knows the result of a write that has taken the reset.
+	mu  sync.Mutex
+	err error
+}
+
+// pastDeadline makes pending and later writes time out at once.
+var pastDeadline = time.Unix(1, 0)
+
+func (t *targetWriter) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, err := t.target.Write(p)
+	if t.err == nil {
+		t.err = err
+	}
+	return n, err
+}
+
+// finish returns the error of the first write that failed. Call it after the end of the bytes from the target: a write that is in progress
+// then fails too, because the target does not read it.
+func (t *targetWriter) finish() error {
+	_ = t.target.SetWriteDeadline(pastDeadline) // it fails only on a closed connection
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.err
 }
 
 // copyAndFlush copies the bytes from a target without delay until the target closes the connection.
