--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 	"github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/operator/v1/operatorv1connect"
 )
 
@@ -21,7 +22,7 @@
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.TLSClientConfig = tlsConfig
-	httpClient := &http.Client{Transport: tokenTransport{o.token, transport}}
+	httpClient := &http.Client{Transport: tokenTransport{o.token, httphead.Transport{Base: transport}}}
 	return operatorv1connect.NewOperatorServiceClient(httpClient, o.server), nil
 }
 
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 )
 
 const (
@@ -36,6 +38,7 @@
 	address       string
 	dedicated     bool
 	limitedReader *io.LimitedReader
+	source        *source
 	reader        *bufio.Reader
 	writer        *bufio.Writer
 	// reusableUntil is when the connection expires in the pool.
@@ -54,9 +57,10 @@
 
 func newConn(nc net.Conn, client *Client, o Options) *conn {
 	limitedReader := &io.LimitedReader{R: nc, N: math.MaxInt64}
+	source := &source{next: limitedReader}
 	return &conn{
 		Conn: nc, client: client, address: o.Address, dedicated: o.DedicatedConn || isSingleUse(nc), limitedReader: limitedReader,
-		reader: bufio.NewReaderSize(limitedReader, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes),
+		source: source, reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(nc, writeBufferBytes),
 	}
 }
 
@@ -92,7 +96,7 @@
 // usable reports whether an idle connection can carry another request: it is open, not expired, and no unsolicited data has
 // arrived on it.
 func (c *conn) usable() bool {
-	if c.closed.Load() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
+	if c.closed.Load() || c.buffered() > 0 || !time.Now().Before(c.reusableUntil) {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
@@ -182,11 +186,18 @@
 	c.limitedReader.N = maxHeaderBytes
 	defer func() { c.limitedReader.N = math.MaxInt64 }()
 	for {
+		head, err := c.awaitHead()
+		if err != nil {
+			return nil, err
+		}
+		if err := httphead.Check(head); err != nil {
+			return nil, errors.Wrap(err, "check the head of the response")
+		}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
@@ -212,7 +223,7 @@
 
 // reusable reports whether the connection can carry another request after the response.
 func (c *conn) reusable(resp *http.Response) bool {
-	return !c.dedicated && !c.carried.full() && !resp.Close && !closeDelimited(resp) && resp.StatusCode != http.StatusSwitchingProtocols
+	return !c.dedicated && !c.carried.full() && !resp.Close && !closeDelimited(resp)
 }
 
 // requestWritten reports whether the whole request has been written.
@@ -273,7 +284,7 @@
 		live := c.stopWatching()
 		// Bytes left in the buffer belong to no request. If the request is not fully written, the target has responded early and
 		// would take the next request for the rest of the body.
-		if complete && live && b.reusable && c.requestWritten() && c.reader.Buffered() == 0 {
+		if complete && live && b.reusable && c.requestWritten() && c.buffered() == 0 {
 			c.client.putIdle(c)
 			return
 		}
--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 )
 
@@ -33,7 +34,7 @@
 // when a reused connection fails.
 type forwardTransport struct {
 	to   Address
-	http *http.Transport
+	http http.RoundTripper
 }
 
 func (n *Node) newTransport(to Address, class SessionClass) *forwardTransport {
@@ -48,9 +49,9 @@
 		}
 		return stream, nil
 	}
-	return &forwardTransport{to: to, http: &http.Transport{
+	return &forwardTransport{to: to, http: httphead.Transport{Base: &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, WriteBufferSize: 32 << 10, ReadBufferSize: 32 << 10,
-	}}
+	}}}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/pkg/store/httpkv/client.go
+++ b/pkg/store/httpkv/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
@@ -57,7 +58,7 @@
 	}
 	// Redirects are not followed, because a write would be sent a second time.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{base: base, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}, nil
+	return &Client{base: base, client: &http.Client{Transport: httphead.Transport{Base: transport}, CheckRedirect: noRedirect}}, nil
 }
 
 // Get returns a row.
