--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -34,8 +34,11 @@
 
 // Check returns an error if the head of a response, as bytes, is not valid, or if it is one of a switch of protocols, which nobody here asks for.
 func Check(head []byte) error {
-	line, _ := cutLine(head)
-	return checkStatusLine(line)
+	line, rest := cutLine(head)
+	if err := checkStatusLine(line); err != nil {
+		return err
+	}
+	return checkFields(rest, bytes.HasPrefix(line, []byte("HTTP/1.0")))
 }
 
 // cutLine returns the first line of a head without its end, and the rest.
@@ -59,8 +62,8 @@
 		status = 10*status + int(b-'0')
 	}
 	reason := after[5:]
-	if len(reason) > 0 && reason[0] != ' ' {
-		return errors.Newf("status line %.40q: the status must have three digits", line)
+	if len(reason) > 0 && reason[0] != ' ' || !isFieldValue(reason) {
+		return errors.Newf("status line %.40q: the status must have three digits, the reason no control characters", line)
 	}
 	return CheckStatus(status)
 }
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,7 @@
 		_ = resp.Body.Close()
 		return nil, errors.Wrap(err, "check response")
 	}
+	CheckTrailer(resp)
 	return resp, nil
 }
 
@@ -27,5 +29,41 @@
 	if resp.ProtoMajor != 1 && resp.ProtoMajor != 2 {
 		return errors.Newf("protocol %.20q: must be HTTP/1.1 or HTTP/2", resp.Proto)
 	}
-	return CheckStatus(resp.StatusCode)
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if a parsed header has a field whose name is not valid.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return errors.Newf("field name %.40q: must be a token", name)
+		}
+	}
+	return nil
+}
+
+// CheckTrailer makes the body of a response in chunks end with an error in place of io.EOF if its trailer has a field whose name is not valid.
+func CheckTrailer(resp *http.Response) {
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = &trailerChecker{resp.Body, resp}
+	}
+}
+
+// trailerChecker is the body of a response with chunks.
+type trailerChecker struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+func (c *trailerChecker) Read(p []byte) (int, error) {
+	n, err := c.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := checkNames(c.resp.Trailer); invalid != nil {
+			return n, errors.Wrap(invalid, "check trailer")
+		}
+	}
+	return n, err
 }
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -56,3 +56,24 @@
 	is.Equal(string(body), "ok")
 	is.NoErr(resp.Body.Close())
 }
+
+// Guards against answers of the platform or of another host that are used although a field name of their head or trailer is malformed.
+func TestTransportRefusesMalformedNames(t *testing.T) {
+	const end = "\r\n\r\n2\r\nok\r\n0\r\n"
+	for name, raw := range map[string]string{
+		"blank in a name":          "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nok",
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked" + end + "\r\n",
+		"trailer, blank in a name": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end + "A : b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp, err := fetch(t, raw)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("an answer with body %q", body)
+			}
+		})
+	}
+}
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -140,6 +140,7 @@
 		}
 		c.echoesID = c.echoesID || match == MatchID
 		if match != MatchOther {
+			httphead.CheckTrailer(resp)
 			c.reusableUntil = time.Now().Add(keepAliveTimeout(resp.Header))
 			b := &responseBody{ReadCloser: resp.Body, conn: c, reusable: c.reusable(resp), closeDelimited: closeDelimited(resp)}
 			if resp.Body == http.NoBody {
--- a/pkg/entry/upstream/strict_test.go
+++ b/pkg/entry/upstream/strict_test.go
@@ -95,3 +95,41 @@
 	}
 	is.Equal(tg.connections.Load(), int32(1))
 }
+
+// Guards against an answer of a target in trouble that reaches a caller although its head or trailer is malformed: with a line passed on that is no
+// field, or with a body that is not the target's.
+func TestAnswerWithAMalformedHeadIsNoAnswer(t *testing.T) {
+	const plain, chunked = "Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	for name, raw := range map[string]string{
+		"blank in a name":                 "HTTP/1.1 200 OK\r\nA B: c\r\n" + plain,
+		"blank before the colon":          "HTTP/1.1 200 OK\r\nA : c\r\n" + plain,
+		"tab in a name":                   "HTTP/1.1 200 OK\r\nA\tB: c\r\n" + plain,
+		"control byte in a name":          "HTTP/1.1 200 OK\r\nA\x01B: c\r\n" + plain,
+		"delimiter in a name":             "HTTP/1.1 200 OK\r\nA(B): c\r\n" + plain,
+		"byte of another code in a name":  "HTTP/1.1 200 OK\r\nA\xe8: c\r\n" + plain,
+		"no name":                         "HTTP/1.1 200 OK\r\n: c\r\n" + plain,
+		"no colon":                        "HTTP/1.1 200 OK\r\nA\r\n" + plain,
+		"control byte in a value":         "HTTP/1.1 200 OK\r\nA: b\x00c\r\n" + plain,
+		"carriage return in a value":      "HTTP/1.1 200 OK\r\nA: b\rc\r\n" + plain,
+		"delete in a value":               "HTTP/1.1 200 OK\r\nA: b\x7fc\r\n" + plain,
+		"control byte in the reason":      "HTTP/1.1 200 O\x01K\r\n" + plain,
+		"folded line":                     "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n" + plain,
+		"folded first line":               "HTTP/1.1 200 OK\r\n A: b\r\n" + plain,
+		"blank before the chunks' colon":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank before the length's colon": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
+		"length and chunks":               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + chunked,
+		"chunks of the oldest protocol":   "HTTP/1.0 200 OK\r\n" + chunked,
+		"two lengths":                     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + plain,
+		"length with a sign":              "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+		"informational, blank in a name":  "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\n" + plain,
+		"trailer, blank in a name":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA : b\r\n\r\n",
+		"trailer, control byte":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: \x01\r\n\r\n",
+		"long head, blank in a name":      "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*readBufferBytes) + "\r\nA B: c\r\n" + plain,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if status, got, err := answerWith(t, raw); err == nil {
+				t.Errorf("an answer with status %d and body %q", status, got)
+			}
+		})
+	}
+}
