--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -32,9 +32,18 @@
 	if err := CheckStatus(resp.StatusCode); err != nil {
 		return err
 	}
+	if hasNoEnd(resp) {
+		return errors.New("the end of the body cannot be detected")
+	}
 	return checkNames(resp.Header)
 }
 
+// hasNoEnd reports whether the body ends with the connection, so that a part of it looks like the whole body.
+func hasNoEnd(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+	return resp.ProtoMajor == 1 && !framed && !resp.Uncompressed
+}
+
 // checkNames returns an error if a parsed header has a field whose name is not valid.
 func checkNames(h http.Header) error {
 	for name := range h {
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -77,3 +77,13 @@
 		})
 	}
 }
+
+// Guards against a part of an answer of the platform that is used as the whole: a body without a length ends with its connection, also when the
+// sender has died.
+func TestTransportRefusesBodiesWithoutEnd(t *testing.T) {
+	resp, err := fetch(t, "HTTP/1.1 200 OK\r\n\r\npart")
+	if err == nil {
+		t.Errorf("an answer with status %d", resp.StatusCode)
+		_ = resp.Body.Close()
+	}
+}
