Keep the sum of what is read ahead in a quota of its own

internal/quota takes over the reservations of pkg/entry/readahead.go, unchanged in behaviour, so that other kinds of memory can be limited in the same way. The quota is an option of the handler and no longer a number among its limits: the host is to divide its memory in one place.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
+	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
 	"github.com/rattanhitch/rattanhitch/pkg/permit"
@@ -51,7 +52,7 @@
 	// permitReleased is set once the permit is released, which may be before the attempt is finished.
 	permitReleased bool
 	// reserved is the memory for the part of the response body that has been read and not yet sent to the caller.
-	reserved reservation
+	reserved quota.Reservation
 }
 
 // answer is an accepted response that has not been streamed yet. Its attempt is still open, and whoever holds the answer must
@@ -112,7 +113,7 @@
 		return
 	}
 	a.releasePermit(outcome)
-	a.reserved.release()
+	a.reserved.Release()
 	a.cancel(nil)
 	a.cancelDeadline()
 }
--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/bubble"
+	"github.com/rattanhitch/rattanhitch/internal/quota"
 )
 
 // Guards against a request that is not retried before its deadline because a target announces a body with its refusal and never
@@ -104,7 +105,7 @@
 	const callers = 8
 	bubble.Run(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newRuleFixture(t, 1, func(o *Options) { o.Limits.ReadAheadBytes = 2 * prefetchBytes })
+		w := newRuleFixture(t, 1, func(o *Options) { o.Answers = quota.New(2 * prefetchBytes) })
 		var sent atomic.Int64
 		w.net.serve(t, "t0", http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/r/endless" {
@@ -135,6 +136,6 @@
 			_ = body.Close()
 		}
 		synctest.Wait()
-		is.Equal(w.handler.readAhead.free.Load(), int64(2*prefetchBytes)) // nothing stays reserved
+		is.Equal(w.handler.opts.Answers.Free(), int64(2*prefetchBytes)) // nothing stays reserved
 	})
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/pkg/command"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
@@ -101,8 +102,6 @@
 	MaxBodyBytes   int64
 	// StallTimeout is how long a response may go without progress before it is aborted.
 	StallTimeout time.Duration
-	// ReadAheadBytes limits the memory for response bodies that are read before they are sent to callers, for all requests together.
-	ReadAheadBytes int64
 }
 
 const (
@@ -111,9 +110,8 @@
 	defaultTimeout        = 10 * time.Second
 	defaultMaxBodyBytes   = 1 << 20
 	defaultStallTimeout   = 30 * time.Second
-	// defaultReadAheadBytes is an eighth of the memory of the smallest hosts, which have 136 MB. The garbage collector may let the heap grow to
-	// twice of what is in use.
-	defaultReadAheadBytes = 16 << 20
+	// defaultMemory is the size in bytes of each quota of memory that the options leave out.
+	defaultMemory = 16 << 20
 )
 
 func (l Limits) withDefaults() Limits {
@@ -122,7 +120,6 @@
 	l.DefaultTimeout = cmp.Or(l.DefaultTimeout, defaultTimeout)
 	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes)
 	l.StallTimeout = cmp.Or(l.StallTimeout, defaultStallTimeout)
-	l.ReadAheadBytes = cmp.Or(l.ReadAheadBytes, defaultReadAheadBytes)
 	return l
 }
 
@@ -151,6 +148,9 @@
 	Scope    tally.Scope
 	Self     peer.Identity
 	Limits   Limits
+	// Answers limits the memory for response bodies that are read before they are sent to callers, for all requests together; nil means a quota of
+	// defaultMemory.
+	Answers *quota.Quota
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -160,11 +160,10 @@
 	metrics *metrics
 	log     requestLog
 	// work holds what is known of the work of each route.
-	work      *workEstimates
-	readAhead *readAhead
-	sequence  atomic.Uint64
-	inFlight  atomic.Int64
-	leaving   atomic.Bool
+	work     *workEstimates
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+	leaving  atomic.Bool
 	// end is when this host cuts the requests in flight; nil while it is not stopping.
 	end atomic.Pointer[time.Time]
 	// hedgeAttempts tracks the goroutines of hedged requests' second attempts, which may outlive their requests.
@@ -192,9 +191,11 @@
 	if opts.Dialect == nil {
 		opts.Dialect = dialect.Native{}
 	}
+	if opts.Answers == nil {
+		opts.Answers = quota.New(defaultMemory)
+	}
 	return &Handler{
 		opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog(), work: newWorkEstimates(),
-		readAhead: newReadAhead(opts.Limits.ReadAheadBytes),
 	}
 }
 
--- a/pkg/entry/prefetch.go
+++ b/pkg/entry/prefetch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
@@ -26,7 +27,7 @@
 	if !h.shouldPrefetch(rq) || ans.resp.Body == http.NoBody {
 		return ans, nil
 	}
-	ans.reserved.from = h.readAhead
+	ans.reserved.From = h.opts.Answers
 	start, err := readStart(ans.resp.Body, ans.resp.ContentLength, &ans.reserved)
 	ans.bytes = uint64(len(start))
 	switch {
@@ -43,7 +44,7 @@
 
 // readStart reads up to prefetchBytes of a body, as far as they can be reserved. The error is io.EOF if that is the whole body, and nil if there may
 // be more. length is the length of the body, or negative if it is unknown.
-func readStart(body io.Reader, length int64, reserved *reservation) ([]byte, error) {
+func readStart(body io.Reader, length int64, reserved *quota.Reservation) ([]byte, error) {
 	size := minPrefetchBytes
 	if length >= 0 {
 		size = int(min(length+1, prefetchBytes)) // one byte more, so that the end of the body is read
@@ -51,7 +52,7 @@
 	start := []byte{}
 	for {
 		if len(start) == cap(start) {
-			if cap(start) == prefetchBytes || !reserved.grow(size-cap(start)) {
+			if cap(start) == prefetchBytes || !reserved.Grow(int64(size-cap(start))) {
 				return start, nil
 			}
 			start = append(make([]byte, 0, size), start...)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	ans.bodyPrefix = nil
-	ans.reserved.release()
+	ans.reserved.Release()
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	out := &callerWriter{w: w, control: http.NewResponseController(w)}
