--- a/pkg/daemon/process_fleet_test.go
+++ b/pkg/daemon/process_fleet_test.go
@@ -38,8 +38,10 @@
 	started  map[string]bool
 	// hostFlags are further flags of all hosts.
 	hostFlags []string
-	hosts     []processHost
-	targets   []string
+	// descriptors is the number of descriptors that each host may open; 0 leaves the limit of the test.
+	descriptors int
+	hosts       []processHost
+	targets     []string
 }
 
 // process is a running program. done is closed when it has exited, and err is the result then.
@@ -129,7 +131,13 @@
 		"--caller-listen", h.ip + ":8080", "--operator-listen", h.ip + ":8081", "--peer-listen", h.ip + ":8082",
 		"--platform-url", "http://" + p.network + "1:8080", "--announce-for", "1s", "--log-level", "warn",
 	}
-	p.start(h.name, p.daemonOf(h), append(flags, p.hostFlags...)...)
+	flags = append(flags, p.hostFlags...)
+	if p.descriptors == 0 {
+		p.start(h.name, p.daemonOf(h), flags...)
+		return
+	}
+	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
+	p.start(h.name, "/bin/sh", append([]string{"-c", limited, p.daemonOf(h)}, flags...)...)
 }
 
 // daemonOf returns the program to start a host with: the previous version for its first start, if there is one.
