Limit the memory for the heads of all requests together

What callers saw: a host ended, and all its callers lost their requests. 200 clients with legal heads of short lines, or 400 whose last line is missing, fill the smallest hosts.

Cause: net/http parses a head into maps before any other code sees it, twenty times its size for short lines.

Change: package intake stands between the listener and net/http. It follows the requests on a connection, so that reads return the bytes of one request at a time, measures each head and trailer while it arrives, and reserves memory for it from one quota of the host. A head for which there is none is refused at once with 503 and Retry-After, one above the limit with 431; the connection ends after it. Where net/http might see the end of a request elsewhere, nothing further is read. Ordinary heads need no reservation. For a refused client, the one of those without progress that has stood still for the longest time is given up. Requests that other hosts forward reserve from the same quota after they are parsed. The configuration's max_header_bytes is in force.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"github.com/rattanhitch/rattanhitch/internal/machine"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/logging"
@@ -73,6 +74,7 @@
 	defer logWriter.Close()
 	configureLog(s, logWriter)
 	setMaxProcs(s.MaxProcs)
+	limitMemory(machine.Memory(s.MemoryLimitMiB))
 	defer startHeapTuner(uint64(s.HeapTargetMiB) << 20).stop()
 	// Signals may come while the modules start. Settings are read only at the start, so SIGHUP has nothing to reload; its default action
 	// would end the process.
--- a/pkg/daemon/heap.go
+++ b/pkg/daemon/heap.go
@@ -15,6 +15,17 @@
 	maxGCPercent = 400
 )
 
+// memoryLimitPercent is the part of the memory of this host, in percent, near which garbage is collected more often. What is held stays below half of
+// it, so that collections still find garbage. The rest is for the program and for memory that the runtime does not count.
+const memoryLimitPercent = 75
+
+// limitMemory makes the runtime collect garbage before the process exceeds its memory, in bytes, unless GOMEMLIMIT is set in the environment.
+func limitMemory(memory int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memory / 100 * memoryLimitPercent)
+	}
+}
+
 // heapTuner adjusts the garbage collection percentage after each collection, so that the next one starts when the heap reaches
 // the target size. The percentage is never below minGCPercent, so the heap may exceed the target. A memory limit (GOMEMLIMIT)
 // does not serve this purpose: the runtime collects continuously when the live heap is close to the limit.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -151,6 +151,9 @@
 	// Answers limits the memory for response bodies that are read before they are sent to callers, for all requests together; nil means a quota of
 	// defaultMemory.
 	Answers *quota.Quota
+	// Heads limits the memory for the heads of requests that other hosts forward, together with those of callers, which the listener measures. nil
+	// means a quota of defaultMemory.
+	Heads *quota.Quota
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -194,6 +197,9 @@
 	if opts.Answers == nil {
 		opts.Answers = quota.New(defaultMemory)
 	}
+	if opts.Heads == nil {
+		opts.Heads = quota.New(defaultMemory)
+	}
 	return &Handler{
 		opts: opts, targets: upstream.New(opts.Dial), metrics: newMetrics(opts.Scope), log: newRequestLog(), work: newWorkEstimates(),
 	}
@@ -232,6 +238,12 @@
 			return
 		}
 		origin.writeIdentity(w.Header())
+		reserved := quota.Reservation{From: h.opts.Heads}
+		defer reserved.Release()
+		if !reserveHead(r, &reserved) {
+			h.refuse(w, &request{in: r, id: origin.requestID, start: time.Now(), forwarded: true, mode: origin.mode}, noMemory("the head"))
+			return
+		}
 		h.serve(w, r, origin)
 	})
 }
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -87,10 +87,15 @@
 	return out
 }
 
-// headerBytes returns the size of a request's header in the HTTP/1.1 wire format.
+// headerBytes returns the size of a request's header in the HTTP/1.1 wire format, with the request line.
 func headerBytes(r *http.Request) int {
+	return len(r.Method) + len(r.RequestURI) + len("  HTTP/1.1\r\n") + fieldBytes(r)
+}
+
+// fieldBytes returns the size of the fields of a request's header in the HTTP/1.1 wire format.
+func fieldBytes(r *http.Request) int {
 	const separators = 4 // ": " and CRLF
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(" HTTP/1.1\r\nHost: \r\n")
+	n := len(r.Host) + len("Host: \r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
 			n += len(name) + len(value) + separators
--- a/pkg/entry/reply/reply.go
+++ b/pkg/entry/reply/reply.go
@@ -80,6 +80,8 @@
 	ReasonPlatformUnavailable Reason = "platform-unavailable"
 	ReasonAnswerTooLarge      Reason = "answer-too-large"
 	ReasonInternal            Reason = "internal"
+	ReasonNoMemory            Reason = "no-memory"
+	ReasonConnections         Reason = "too-many-connections"
 )
 
 // Reasons returns all reasons.
@@ -94,6 +96,7 @@
 		ReasonTicketInvalid, ReasonTicketExpired, ReasonOwnerGone, ReasonOwnerUnreachable,
 		ReasonRecordExpired, ReasonRecordsFull, ReasonPlatformUnavailable, ReasonAnswerTooLarge,
 		ReasonInternal, ReasonHostLeaving, ReasonOverloaded,
+		ReasonNoMemory, ReasonConnections,
 	}
 }
 
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -91,9 +91,9 @@
 	if r.Method == http.MethodConnect {
 		return rq, refusal(http.StatusNotImplemented, reply.ReasonBadMethod, "CONNECT is not supported")
 	}
-	if n := headerBytes(r); n > h.opts.Limits.MaxHeaderBytes {
+	if n, limit := fieldBytes(r), h.maxFieldBytes(); from == nil && n > limit {
 		return rq, refusal(http.StatusRequestHeaderFieldsTooLarge, reply.ReasonHeaderTooLarge,
-			strconv.Itoa(n)+" bytes, allowed "+strconv.Itoa(h.opts.Limits.MaxHeaderBytes))
+			strconv.Itoa(n)+" bytes, allowed "+strconv.Itoa(limit))
 	}
 	snap := h.opts.Store.Current()
 	rq.configVersion = snap.ReportedVersion()
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/rattanhitch/rattanhitch/pkg/entry"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/dialect"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/upstream"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/lookup"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
@@ -43,15 +45,14 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the time after which a connection without requests is closed.
 	idleTimeout = 2 * time.Minute
-	// headerMargin, in bytes, is added to the header limit of net/http. Requests slightly above the limit are thus refused by the
-	// entry handler, whose refusal carries an outcome, and not by net/http.
+	// headerMargin, in bytes, is added to the header limit of net/http, which is thus never reached: the listener refuses longer heads before.
 	headerMargin = 64 << 10
 )
 
 func init() {
 	kernel.Register(kernel.Info{
 		ID:    ModuleID,
-		After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, command.ModuleID, budget.ModuleID, burn.ModuleID, admin.ModuleID, overload.ModuleID},
+		After: []string{intake.ModuleID, telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, command.ModuleID, budget.ModuleID, burn.ModuleID, admin.ModuleID, overload.ModuleID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -67,7 +68,8 @@
 	store    *config.Store
 	cancel   context.CancelFunc
 	settings settings.Settings
-	listener net.Listener
+	limits   *intake.Budget
+	listener *intake.Listener
 	server   *http.Server
 	tasks    conc.WaitGroup
 	started  bool
@@ -81,8 +83,10 @@
 	var (
 		conf        *config.Module
 		adminModule *admin.Module
+		limits      *intake.Module
 	)
 	err := kernel.Bind(app,
+		kernel.To(&limits, intake.ModuleID),
 		kernel.To(&conf, config.ModuleID),
 		kernel.To(&m.members, membership.ModuleID),
 		kernel.To(&adminModule, admin.ModuleID),
@@ -90,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	m.store = conf.Store
+	m.store, m.limits = conf.Store, limits.Budget
 	if err := m.provisionEntry(app, conf); err != nil {
 		return err
 	}
@@ -105,8 +109,21 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    m.settings.MaxHeaderBytes + headerMargin,
 	}
-	m.listener, err = net.Listen("tcp", m.settings.CallerListen)
-	return steperr.Wrap(err, "listen for callers", m.settings.CallerListen)
+	return m.listen()
+}
+
+// listen opens the port for callers, within the limits of the host.
+func (m *Module) listen() error {
+	inner, err := net.Listen("tcp", m.settings.CallerListen)
+	if err != nil {
+		return steperr.Wrap(err, "listen for callers", m.settings.CallerListen)
+	}
+	m.listener = m.limits.Listen(inner, intake.Port{
+		Name: "callers", Connections: math.MaxInt, MaxHeadBytes: m.Entry.MaxHeadBytes,
+		Refusal: func(r intake.Reason) []byte { return m.Entry.EncodeRefusal(entry.RefusalFor(r)) },
+	})
+	m.listener.Attach(m.server)
+	return nil
 }
 
 func (m *Module) provisionEntry(app *kernel.App, conf *config.Module) error {
@@ -162,6 +179,8 @@
 		Scope:      scope.Scope,
 		Self:       node.Self,
 		Limits:     entry.Limits{MaxHeaderBytes: s.MaxHeaderBytes},
+		Answers:    m.limits.Answers,
+		Heads:      m.limits.Heads,
 	})
 	node.Node.HandleForward(m.tunnels.Handler(m.Entry.ForwardedHandler()))
 	return nil
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -19,6 +19,9 @@
 	// minHeaderBytes and maxHeaderBytes bound --max-header-bytes.
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
+	// minMemoryMiB and minDescriptors are the lower bounds of --memory-limit-mib and --descriptor-limit.
+	minMemoryMiB   = 64
+	minDescriptors = 64
 	// maxAnnounceFor is the upper bound of --announce-for.
 	maxAnnounceFor = time.Minute
 	// minDrainTimeout is the lower bound of --drain-timeout.
@@ -85,6 +88,10 @@
 	LookupTTL time.Duration
 	// MaxHeaderBytes is the maximum size of a request's header in bytes.
 	MaxHeaderBytes int
+	// MemoryLimitMiB is the memory in MiB that this process may use; 0 means that of the machine.
+	MemoryLimitMiB int
+	// DescriptorLimit is the number of descriptors that this process may have open; 0 means what the kernel allows.
+	DescriptorLimit int
 	// Capacity is the processor time of this host in thousandths of a core. It is this host's weight relative to other hosts.
 	Capacity int
 	// HeapTargetMiB is the heap size in MiB up to which garbage collection is delayed.
@@ -128,6 +135,8 @@
 	fs.DurationVar(&s.DrainTimeout, "drain-timeout", 10*time.Minute, "longest wait for requests in flight on shutdown")
 	fs.DurationVar(&s.LookupTTL, "lookup-ttl", 10*time.Second, "how long callers may cache a lookup answer")
 	fs.IntVar(&s.MaxHeaderBytes, "max-header-bytes", 64<<10, "largest request header, in bytes")
+	fs.IntVar(&s.MemoryLimitMiB, "memory-limit-mib", 0, "memory in MiB that this host may use; 0 for that of the machine")
+	fs.IntVar(&s.DescriptorLimit, "descriptor-limit", 0, "descriptors that this host may have open; 0 for what the kernel allows")
 	fs.IntVar(&s.HeapTargetMiB, "heap-target-mib", 40, "heap size in MiB up to which garbage collection is put off")
 	fs.IntVar(&s.Capacity, "capacity", 1000, "processor time of this host in thousandths of a core; hosts with more take more shared work")
 	fs.IntVar(&s.MaxProcs, "max-procs", 0, "threads that run Go code at the same moment; 0 for one per core")
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -83,6 +83,9 @@
 	p.check(s.MaxHeaderBytes >= minHeaderBytes && s.MaxHeaderBytes <= maxHeaderBytes, "max-header-bytes", s.MaxHeaderBytes,
 		"must be from 4096 to 1048576")
 	p.check(s.HeapTargetMiB >= 1 && s.HeapTargetMiB <= most, "heap-target-mib", s.HeapTargetMiB, "must be from 1 to 1048576")
+	p.check(s.MemoryLimitMiB == 0 || s.MemoryLimitMiB >= minMemoryMiB && s.MemoryLimitMiB <= most, "memory-limit-mib", s.MemoryLimitMiB,
+		"must be 0 or from 64 to 1048576")
+	p.check(s.DescriptorLimit == 0 || s.DescriptorLimit >= minDescriptors, "descriptor-limit", s.DescriptorLimit, "must be 0 or at least 64")
 	p.check(s.Capacity >= 1 && s.Capacity <= most, "capacity", s.Capacity, "must be from 1 to 1048576")
 	p.check(s.MaxProcs >= 0 && s.MaxProcs <= 1024, "max-procs", s.MaxProcs, "must be from 0 to 1024")
 }
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanhitch/rattanhitch/internal/invariant"
 	"github.com/rattanhitch/rattanhitch/internal/port"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 )
 
@@ -25,7 +26,7 @@
 const reportInterval = time.Second
 
 func init() {
-	kernel.Register(kernel.Info{ID: ModuleID, New: func() kernel.Module { return &Module{} }})
+	kernel.Register(kernel.Info{ID: ModuleID, After: []string{intake.ModuleID}, New: func() kernel.Module { return &Module{} }})
 }
 
 // Module is the kernel module that owns the root scope.
@@ -42,6 +43,10 @@
 
 // Provision builds the scope and its reporter and opens the metrics port, if one is configured.
 func (m *Module) Provision(app *kernel.App) error {
+	var limits *intake.Module
+	if err := kernel.Bind(app, kernel.To(&limits, intake.ModuleID)); err != nil {
+		return err
+	}
 	registry := prom.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(prom.NewCounterFunc(prom.CounterOpts{
@@ -56,6 +61,7 @@
 		Separator:      tallyprom.DefaultSeparator,
 	}
 	m.Scope, m.closer = tally.NewRootScope(options, reportInterval)
+	limits.SetScope(m.Scope)
 	m.handler = reporter.HTTPHandler()
 	var err error
 	m.port, err = listen(app.Settings.MetricsListen, m.handler)
