Limit the memory for the bodies of all requests together

What callers saw: a host ended. 400 clients whose bodies stop just short of their end fill the smallest hosts.

Cause: a body is read into a buffer that doubles, of 64 KB for each request and 1 MB for a recorded command, without a sum over the requests; the only limit of time was the request's deadline, up to 15 minutes.

Change: what is kept of bodies is reserved from one quota of the host, as far as it has arrived and beyond 8 KiB, and returned once the body is streamed on or the request ends. A request for whose body there is no memory is refused at once with 503 and Retry-After, and the one without progress that has stood still for the longest time is given up with 408. The reading of bodies and of answers into memory is one function now.

TestBodiesShareABound, TestStreamedBodyReturnsTheMemoryOfItsStart and TestBodyWithoutProgressIsGivenUp show the sum, its return and the stall.

--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -8,13 +8,16 @@
 	"net/url"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 )
 
 const (
@@ -23,6 +26,8 @@
 	maxReplayBytes = 64 << 10
 	// maxCommandBytes limits the body of a command, which is read completely before the command runs.
 	maxCommandBytes = 1 << 20
+	// freeBodyBytes is the part of a body that each request may keep in memory without a reservation.
+	freeBodyBytes = 8 << 10
 )
 
 // body is the body of a request: a part in memory (head) and, for a long body, a stream that can be read once (rest).
@@ -38,6 +43,49 @@
 	// when the caller stopped sending it.
 	tooLarge, timedOut, incomplete atomic.Bool
 	control                        *http.ResponseController
+	// reserved is the memory for head beyond freeBodyBytes, size that of the buffer for it.
+	reserved quota.Reservation
+	size     int
+	released sync.Once
+	// deadline ends reads from the caller, and stall those without progress.
+	deadline time.Time
+	stall    time.Duration
+}
+
+// grow makes room for n more bytes in memory and reports whether there is any.
+func (b *body) grow(n int) bool {
+	b.size += n
+	missing := int64(b.size-freeBodyBytes) - b.reserved.Held()
+	return missing <= 0 || b.reserved.Grow(missing)
+}
+
+// release returns the memory for head. Call it when no attempt needs it any more.
+func (b *body) release() { b.released.Do(b.reserved.Release) }
+
+// callerReader reads the body from the caller. Each read must make progress within the stall timeout.
+type callerReader struct {
+	io.Reader
+	body *body
+}
+
+func (r *callerReader) Read(p []byte) (int, error) {
+	until := time.Now().Add(r.body.stall)
+	if r.body.deadline.Before(until) {
+		until = r.body.deadline
+	}
+	r.body.control.SetReadDeadline(until)
+	return r.Reader.Read(p)
+}
+
+// releasingReader returns the memory for the start of a body when the rest is read: the start has been sent then, and is not sent again.
+type releasingReader struct {
+	io.Reader
+	body *body
+}
+
+func (r *releasingReader) Read(p []byte) (int, error) {
+	r.body.release()
+	return r.Reader.Read(p)
 }
 
 // markComplete records that the caller has sent the whole body, and removes the read deadline. From now on net/http reads in the
@@ -69,23 +117,28 @@
 	if rq.in.ContentLength > limit {
 		return refusal(http.StatusRequestEntityTooLarge, reply.ReasonBodyTooLarge, "the limit is smaller than Content-Length")
 	}
-	limited := http.MaxBytesReader(w, rq.in.Body, limit)
-	rq.body.control = http.NewResponseController(w)
+	b := rq.body
+	b.control, b.deadline, b.stall = http.NewResponseController(w), rq.deadline, h.opts.Limits.StallTimeout
+	b.reserved.From = h.opts.Bodies
 	// The read deadline ends a request whose caller does not send its body. The context alone does not: http.Transport returns
 	// only once it has stopped reading the body.
-	rq.body.control.SetReadDeadline(rq.deadline)
+	limited := &callerReader{http.MaxBytesReader(w, rq.in.Body, limit), b}
 	keep := int64(maxReplayBytes)
 	if rq.isRecordedCommand() {
 		keep = limit
 	}
-	head, err := readUpTo(limited, keep, rq.in.ContentLength)
-	rq.body.head = head
+	// The additional byte distinguishes a body of that size from a longer one.
+	head, err := readPart(limited, int(keep)+1, firstBodyBytes(rq.in.ContentLength), b.grow)
+	b.head = head
 	switch {
-	case errors.Is(err, io.EOF):
-		rq.body.length = int64(len(head))
-		rq.body.markComplete()
-	case err == nil:
-		rq.body.rest = limited
+	case errors.Is(err, io.EOF) && int64(len(head)) <= keep:
+		b.length = int64(len(head))
+		b.markComplete()
+	case err == nil || errors.Is(err, io.EOF):
+		b.rest = &releasingReader{limited, b}
+	case errors.Is(err, errNoMemory):
+		intake.FromContext(rq.in.Context()).Reclaim()
+		return noMemory("the body")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal(http.StatusRequestTimeout, reply.ReasonDeadline, "the body did not arrive in time")
 	case errors.HasType(err, (*http.MaxBytesError)(nil)):
@@ -93,9 +146,18 @@
 	default:
 		return refusal(http.StatusBadRequest, reply.ReasonBadBody, "the body ended early")
 	}
+	intake.FromContext(rq.in.Context()).Serve()
 	return nil
 }
 
+// firstBodyBytes returns the size of the first buffer for a body. More is reserved only once bytes have arrived.
+func firstBodyBytes(contentLength int64) int {
+	if contentLength < 0 {
+		return freeBodyBytes
+	}
+	return int(min(contentLength+1, freeBodyBytes))
+}
+
 // bodyLimit returns the maximum size of the body. For a recorded command it is at most maxCommandBytes. The first host applies the
 // limits of the configuration; the host that it forwards the request to may have an older one, and applies none.
 func (h *Handler) bodyLimit(rq *request) int64 {
@@ -121,21 +183,6 @@
 	return limit
 }
 
-// readUpTo reads a body into memory. It returns the whole body and io.EOF if the body has at most n bytes, and otherwise the
-// first n+1 bytes and no error. Other errors are those of r. length is the Content-Length, or negative if unknown.
-func readUpTo(r io.Reader, n, length int64) ([]byte, error) {
-	var buf bytes.Buffer
-	if length > 0 {
-		buf.Grow(int(min(n, length)) + bytes.MinRead)
-	}
-	// The additional byte distinguishes a body of n bytes from a longer one.
-	read, err := io.Copy(&buf, io.LimitReader(r, n+1))
-	if err == nil && read <= n {
-		err = io.EOF
-	}
-	return buf.Bytes(), err
-}
-
 // reader returns the body for one attempt; ok is false if the body cannot be read again. The reader is never http.NoBody and the
 // request has no GetBody, which prevents http.Transport from replaying the request by itself. A replay could execute the request
 // twice under one permit and would hide that the connection broke the first time.
@@ -149,7 +196,9 @@
 	if b.restConsumed.Swap(true) {
 		return nil, false
 	}
-	return &streamBody{Reader: io.MultiReader(bytes.NewReader(b.head), b.rest), body: b}, true
+	head := b.head
+	b.head = nil // it is not sent again
+	return &streamBody{Reader: io.MultiReader(bytes.NewReader(head), b.rest), body: b}, true
 }
 
 // readFailure returns the failure of an attempt whose body could not be read from the caller, or nil if there was no such error.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -154,6 +154,8 @@
 	// Heads limits the memory for the heads of requests that other hosts forward, together with those of callers, which the listener measures. nil
 	// means a quota of defaultMemory.
 	Heads *quota.Quota
+	// Bodies limits the memory for bodies of requests, for all requests together; nil means a quota of defaultMemory.
+	Bodies *quota.Quota
 }
 
 // Handler is the http.Handler for callers' requests.
@@ -197,6 +199,9 @@
 	if opts.Answers == nil {
 		opts.Answers = quota.New(defaultMemory)
 	}
+	if opts.Bodies == nil {
+		opts.Bodies = quota.New(defaultMemory)
+	}
 	if opts.Heads == nil {
 		opts.Heads = quota.New(defaultMemory)
 	}
@@ -256,6 +261,9 @@
 		return
 	}
 	rq, refusal := h.newRequest(w, r, from)
+	if rq.body != nil {
+		defer rq.body.release()
+	}
 	if refusal != nil {
 		h.refuse(w, rq, refusal)
 		return
--- a/pkg/entry/limits_test.go
+++ b/pkg/entry/limits_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -84,3 +87,89 @@
 		}
 	})
 }
+
+// Guards against bodies whose sum fills the memory, against small bodies that find no memory beside them, and against memory that is not returned.
+func TestBodiesShareABound(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit = 2 * maxReplayBytes
+		bodies := quota.New(limit)
+		w := newFixture(t, 1, func(o *Options) { o.Bodies = bodies })
+		var crowd []*io.PipeWriter
+		for bodies.Free() > 0 {
+			source := w.upload(t)
+			_, err := source.Write(make([]byte, freeBodyBytes+1))
+			is.NoErr(err)
+			crowd = append(crowd, source)
+			synctest.Wait()
+			is.True(bodies.Free() < limit)
+		}
+		got := w.do("PUT", "/lookup/a", strings.Repeat("x", 2*freeBodyBytes))
+		is.Equal(got.status, 503)
+		is.Equal(got.header.Get("Rattanhitch-Reason"), "no-memory")
+		is.Equal(got.header.Get("Rattanhitch-Outcome"), "not-run")
+		is.Equal(w.do("PUT", "/lookup/a", strings.Repeat("x", freeBodyBytes-1)).status, 200)
+		for _, source := range crowd {
+			_ = source.CloseWithError(io.ErrUnexpectedEOF)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(bodies.Free(), int64(limit))
+		is.Equal(w.do("PUT", "/lookup/a", strings.Repeat("x", 4*maxReplayBytes)).status, 200)
+		is.Equal(bodies.Free(), int64(limit))
+	})
+}
+
+// upload begins a request whose body the test writes.
+func (w *fixture) upload(t *testing.T) *io.PipeWriter {
+	body, source := io.Pipe()
+	r, err := http.NewRequest(http.MethodPut, "http://entry/lookup/a", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if resp, err := w.client.Do(r); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	return source
+}
+
+// Guards against a start of a body that stays reserved while the rest is streamed, for as long as the caller likes.
+func TestStreamedBodyReturnsTheMemoryOfItsStart(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		bodies := quota.New(1 << 20)
+		w := newFixture(t, 1, func(o *Options) { o.Bodies = bodies })
+		source := w.upload(t)
+		_, err := source.Write(make([]byte, 2*maxReplayBytes))
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(bodies.Free(), int64(1<<20))
+		_ = source.Close()
+	})
+}
+
+// Guards against clients that hold the slots of targets, and memory, for as long as the deadline of their request by sending nothing more.
+func TestBodyWithoutProgressIsGivenUp(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFixture(t, 1, func(o *Options) { o.Limits.StallTimeout = time.Second })
+		for _, size := range []int{1, 2 * maxReplayBytes} {
+			body, source := io.Pipe()
+			defer source.Close()
+			go func() { _, _ = source.Write(make([]byte, size)) }()
+			r, err := http.NewRequest(http.MethodPut, "http://entry/lookup/a", body)
+			is.NoErr(err)
+			r.Header.Set("Request-Timeout", "600")
+			start := time.Now()
+			resp, err := w.client.Do(r)
+			is.NoErr(err)
+			_ = resp.Body.Close()
+			is.Equal(resp.StatusCode, map[bool]int{true: 408, false: 504}[size == 1])
+			is.True(time.Since(start) < 5*time.Second)
+			synctest.Wait()
+			is.Equal(w.permits.open, 0)
+		}
+	})
+}
--- a/pkg/entry/prefetch.go
+++ b/pkg/entry/prefetch.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	peerv1 "github.com/rattanhitch/rattanhitch/pkg/gen/rattanhitch/peer/v1"
@@ -28,42 +27,29 @@
 		return ans, nil
 	}
 	ans.reserved.From = h.opts.Answers
-	start, err := readStart(ans.resp.Body, ans.resp.ContentLength, &ans.reserved)
+	start, err := readPart(ans.resp.Body, prefetchBytes, firstPrefetchBytes(ans.resp.ContentLength), func(n int) bool {
+		return ans.reserved.Grow(int64(n))
+	})
 	ans.bytes = uint64(len(start))
 	switch {
 	case errors.Is(err, io.EOF):
 		ans.fullBody = start
 		ans.releasePermit(statusOutcome(ans.resp.StatusCode))
 		return ans, nil
-	case err == nil:
+	case err == nil || errors.Is(err, errNoMemory):
 		ans.bodyPrefix = start
 		return ans, nil
 	}
 	return nil, h.responseTruncated(rq, ans, err)
 }
 
-// readStart reads up to prefetchBytes of a body, as far as they can be reserved. The error is io.EOF if that is the whole body, and nil if there may
-// be more. length is the length of the body, or negative if it is unknown.
-func readStart(body io.Reader, length int64, reserved *quota.Reservation) ([]byte, error) {
-	size := minPrefetchBytes
-	if length >= 0 {
-		size = int(min(length+1, prefetchBytes)) // one byte more, so that the end of the body is read
-	}
-	start := []byte{}
-	for {
-		if len(start) == cap(start) {
-			if cap(start) == prefetchBytes || !reserved.Grow(int64(size-cap(start))) {
-				return start, nil
-			}
-			start = append(make([]byte, 0, size), start...)
-			size = min(2*size, prefetchBytes)
-		}
-		n, err := body.Read(start[len(start):cap(start)])
-		start = start[:len(start)+n]
-		if err != nil {
-			return start, err
-		}
+// firstPrefetchBytes returns the size of the first buffer for a body with a length, which is negative if it is unknown. One byte more than the body
+// has is needed to read its end.
+func firstPrefetchBytes(length int64) int {
+	if length < 0 {
+		return minPrefetchBytes
 	}
+	return int(min(length+1, prefetchBytes))
 }
 
 // shouldPrefetch reports whether the start of the response is prefetched. Callers of requests that match a rule wait for the
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -78,7 +78,7 @@
 	}
 	deadline, _ := a.ctx.Deadline()
 	if rq.body.rest != nil {
-		rq.body.control.SetReadDeadline(deadline) // the permit may expire before the request's deadline
+		rq.body.deadline = deadline // the permit may expire before the request's deadline
 	}
 	header := maps.Clone(rq.header) // a shallow copy is enough: value slices are replaced, never modified
 	if a.grant == nil {
--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -181,6 +181,7 @@
 		Limits:     entry.Limits{MaxHeaderBytes: s.MaxHeaderBytes},
 		Answers:    m.limits.Answers,
 		Heads:      m.limits.Heads,
+		Bodies:     m.limits.Bodies,
 	})
 	node.Node.HandleForward(m.tunnels.Handler(m.Entry.ForwardedHandler()))
 	return nil
