Limit the connections of callers and of strangers at the peer port

What callers saw: no answer. Clients that open connections and leave them open take all descriptors of a host; it can then neither accept further callers nor reach targets, other hosts and the platform.

Cause: no limit for connections anywhere but the kernel's for the process.

Change: the listener for callers counts its connections. The limit is half of the descriptors, and one for each 128 KiB of memory. Beyond it the connection that has been idle for the longest time is closed for the new one, or else the one whose request has made no progress for the longest time (408 within a body); requests that are served are left alone. If there is none to close, the new one gets 503 with Retry-After at once. At the peer port the connections without a Hello are limited likewise.

--- a/pkg/frontend/frontend.go
+++ b/pkg/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -119,7 +118,7 @@
 		return steperr.Wrap(err, "listen for callers", m.settings.CallerListen)
 	}
 	m.listener = m.limits.Listen(inner, intake.Port{
-		Name: "callers", Connections: math.MaxInt, MaxHeadBytes: m.Entry.MaxHeadBytes,
+		Name: "callers", Connections: m.limits.CallerConnections(), MaxHeadBytes: m.Entry.MaxHeadBytes,
 		Refusal: func(r intake.Reason) []byte { return m.Entry.EncodeRefusal(entry.RefusalFor(r)) },
 	})
 	m.listener.Attach(m.server)
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -27,9 +27,10 @@
 	callerMemory = 128 << 10
 	lookupMemory = 512 << 10
 	// callerDescriptors and lookupDescriptors are divisors for the shares of the descriptors. The rest is for targets, other hosts and the platform.
-	callerDescriptors   = 2
-	lookupDescriptors   = 8
-	operatorDescriptors = 16
+	callerDescriptors    = 2
+	lookupDescriptors    = 16
+	operatorDescriptors  = 32
+	handshakeDescriptors = 32
 	// maxOperatorConnections is enough for operators' watches and for collectors of metrics.
 	maxOperatorConnections = 64
 	// minConnections is the least limit of any port.
@@ -78,6 +79,11 @@
 	return max(min(b.limits.Descriptors/operatorDescriptors, maxOperatorConnections), minConnections)
 }
 
+// Handshakes returns the limit of connections of other hosts that have not stated who they are.
+func (b *Budget) Handshakes() int {
+	return max(b.limits.Descriptors/handshakeDescriptors, minConnections)
+}
+
 func (b *Budget) connections(descriptors int, memory int64) int {
 	return max(min(b.limits.Descriptors/descriptors, int(b.limits.MemoryBytes/memory)), minConnections)
 }
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -190,3 +190,65 @@
 	c.Serve()
 	c.Reclaim()
 }
+
+// Guards against connections that take all descriptors: beyond the limit, the connection that has been idle for the longest time makes room, and never one
+// whose request is served.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	p := newTestPort(t, newTestBudget(), Port{Name: "test", Connections: 4})
+	held := p.dial().send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-p.serving
+	served := p.dial().send(get + "\r\n")
+	is.Equal(served.status(), 200)
+	fresh := []*client{p.dial(), p.dial()}
+	p.waitOpen(4)
+	time.Sleep(idleGrace)
+	is.Equal(p.dial().send(get+"\r\n").status(), 200)
+	is.Equal(served.status(), 0) // idle for longer than the fresh ones
+	is.Equal(fresh[1].send(get+"\r\n").status(), 200)
+	<-p.serving
+	is.Equal(held.status(), 200)
+	p.waitFor("the limit", func() bool { return p.Open() <= 4 })
+}
+
+// Guards against requests that never arrive as a whole and keep others out, and against requests in progress that are cut off for others.
+func TestStalledRequestsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	p := newTestPort(t, newTestBudget(), Port{Name: "test", Connections: 3})
+	head := p.dial().send(get)
+	body := p.dial().send(post + "\r\n5\r\nab")
+	moving := p.dial().send(post + "\r\n100000\r\n")
+	p.waitOpen(3)
+	is.Equal(p.dial().send(get+"\r\n").status(), 503) // all of them make progress, as far as is known
+	for end := time.Now().Add(stallGrace + 100*time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		moving.send(strings.Repeat("x", progressBytes))
+	}
+	is.Equal(p.dial().send(get+"\r\n").status(), 200)
+	is.Equal(head.status(), 0)
+	time.Sleep(idleGrace)
+	arriving := p.dial().send(get) // in place of the one that is idle now
+	p.waitFor("the request", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.idle.Len() == 0
+	})
+	is.Equal(p.dial().send(get+"\r\n").status(), 200)
+	is.Equal(body.status(), 408) // it is told that its request did not run
+	is.Equal(arriving.send("\r\n").status(), 200)
+	moving.send(strings.Repeat("x", progressBytes)) // still open
+}
+
+// Guards against a listener that leaves connections open on which no request has begun, so that a stop waits for them.
+func TestCloseIdle(t *testing.T) {
+	is := is.New(t)
+	p := newTestPort(t, newTestBudget(), Port{Name: "test", Connections: 10})
+	idle, served, held := p.dial(), p.dial().send(get+"\r\n"), p.dial().send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.Equal(served.status(), 200)
+	<-p.serving
+	p.waitOpen(3)
+	p.waitFor("the idle ones", func() bool { p.CloseIdle(); return p.Open() == 1 })
+	is.Equal(idle.status(), 0)
+	is.Equal(served.status(), 0)
+	<-p.serving
+	is.Equal(held.status(), 200)
+}
--- a/pkg/peer/module.go
+++ b/pkg/peer/module.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/settings"
 	"github.com/rattanhitch/rattanhitch/pkg/telemetry"
@@ -17,7 +18,7 @@
 const ModuleID = "peer"
 
 func init() {
-	kernel.Register(kernel.Info{ID: ModuleID, After: []string{telemetry.ModuleID}, New: func() kernel.Module { return &Module{} }})
+	kernel.Register(kernel.Info{ID: ModuleID, After: []string{intake.ModuleID, telemetry.ModuleID}, New: func() kernel.Module { return &Module{} }})
 }
 
 // Module owns the daemon's Node.
@@ -32,7 +33,11 @@
 // Provision opens the listener for peers. Connections are accepted after Start.
 func (m *Module) Provision(app *kernel.App) error {
 	s := app.Settings
-	scope, err := kernel.Get[*telemetry.Module](app, telemetry.ModuleID)
+	var (
+		scope  *telemetry.Module
+		limits *intake.Module
+	)
+	err := kernel.Bind(app, kernel.To(&scope, telemetry.ModuleID), kernel.To(&limits, intake.ModuleID))
 	if err != nil {
 		return err
 	}
@@ -48,7 +53,9 @@
 		Host: s.Host, Incarnation: uint64(time.Now().UnixMicro()), FailureDomain: s.EffectiveDispatchDomain(), Place: s.FailureDomain,
 		Region: s.Region,
 	}
-	m.Node = New(Options{Self: m.Self, Listener: listener, TLS: tlsConfig, Scope: scope.Scope})
+	m.Node = New(Options{
+		Self: m.Self, Listener: listener, TLS: tlsConfig, Scope: scope.Scope, MaxHandshakes: limits.Handshakes(),
+	})
 	return nil
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -23,6 +23,7 @@
 	// methods holds the methods with a handler, by the hash of their name.
 	methods       map[uint32]method
 	forwardServer *http.Server
+	handshakes    handshakes
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -56,6 +57,7 @@
 		sessions:   map[*session]struct{}{},
 		transports: map[transportKey]*forwardTransport{},
 	}
+	n.handshakes.limit = n.opts.MaxHandshakes
 	n.metrics = newMetrics(n.opts.Scope)
 	n.traffic = newTraffic(n.opts.Scope, n.opts.Self)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -129,6 +131,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		n.handshakes.add(conn)
 		go n.serve(conn)
 	}
 }
@@ -136,6 +139,7 @@
 // serve runs one accepted connection until its session ends.
 func (n *Node) serve(conn net.Conn) {
 	secured, from, class, err := n.serverHandshake(conn)
+	n.handshakes.remove(conn)
 	if err != nil {
 		n.metrics.handshakeErrors.Inc(1)
 		_ = conn.Close()
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -37,6 +38,9 @@
 	// headerTimeout limits reading the header of a forwarded request.
 	headerTimeout = 10 * time.Second
 
+	// defaultHandshakes is the default of Options.MaxHandshakes.
+	defaultHandshakes = 128
+
 	// maxMessage is the largest encoded call or answer, in bytes.
 	maxMessage = 4 << 20
 	// maxHello is the largest encoded Hello, in bytes.
@@ -85,6 +89,8 @@
 	TLS *tls.Config
 	// Scope receives metrics; it may be nil.
 	Scope tally.Scope
+	// MaxHandshakes limits the accepted connections whose peer has not stated who it is; 0 means defaultHandshakes.
+	MaxHandshakes int
 }
 
 func (o Options) withDefaults() Options {
@@ -95,5 +101,6 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	o.MaxHandshakes = cmp.Or(o.MaxHandshakes, defaultHandshakes)
 	return o
 }
