Limit heads and connections at the ports for operators, metrics and lookups

What could be seen: a host ended by 50 clients with heads of 900 KB at the metrics port, which anybody can reach, or at the operators' port; 7 GB for 400 of them.

Cause: these ports kept net/http's limit of 1 MB for a head, twenty times its size once parsed, and had no limit for connections.

Change: their listeners have the limits of package intake: 16 KiB for a head, the host's memory for heads, and a share of the descriptors. With TLS, the state of the connection reaches the check of operators' certificates as before.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -11,28 +11,42 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 )
 
-// headerTimeout is the read timeout for the header of a request.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout is the read timeout for the header of a request.
+	headerTimeout = 5 * time.Second
+	// maxHeadBytes is the longest head of a request that is read.
+	maxHeadBytes = 16 << 10
+)
 
 // Server is an HTTP server with its listener.
 type Server struct {
 	purpose    string
-	listener   net.Listener
+	listener   *intake.Listener
 	server     *http.Server
 	background conc.WaitGroup
 }
 
-// Listen opens a TCP listener without serving it yet. The purpose, for example "metrics", is part of errors and log lines.
-func Listen(purpose, address string, handler http.Handler) (*Server, error) {
+// Listen opens a TCP listener without serving it yet. The purpose, for example "metrics", is part of errors, metrics and log lines. The heads of its
+// requests take part in the budget, and it accepts up to the given number of connections.
+func Listen(purpose, address string, handler http.Handler, budget *intake.Budget, connections int) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, steperr.Wrap(err, "listen for "+purpose, address)
 	}
-	return &Server{
-		purpose: purpose, listener: listener, server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
-	}, nil
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return &Server{purpose: purpose, listener: Limit(purpose, listener, server, budget, connections), server: server}, nil
+}
+
+// Limit returns a listener for the connections that inner accepts and the server serves, with the limits of Listen.
+func Limit(purpose string, inner net.Listener, server *http.Server, budget *intake.Budget, connections int) *intake.Listener {
+	listener := budget.Listen(inner, intake.Port{
+		Name: purpose, Connections: connections, MaxHeadBytes: func() int { return maxHeadBytes },
+	})
+	listener.Attach(server)
+	return listener
 }
 
 // Address returns the address of the listener, with the port number that the system chose if none was given.
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -10,14 +10,19 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanhitch/rattanhitch/internal/port"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 )
 
+func budget() *intake.Budget {
+	return intake.NewBudget(intake.Limits{MemoryBytes: 64 << 20, Descriptors: 1000})
+}
+
 // Guards against a listener that stays open after Close, with or without a preceding Start.
 func TestPortIsClosed(t *testing.T) {
 	is := is.New(t)
 	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })
 	for _, started := range []bool{true, false} {
-		p, err := port.Listen("tests", "127.0.0.1:0", hello)
+		p, err := port.Listen("tests", "127.0.0.1:0", hello, budget(), 10)
 		is.NoErr(err)
 		if started {
 			p.Start()
@@ -38,10 +43,10 @@
 // Guards against an error of Listen that names neither the purpose nor the address of the listener.
 func TestListenNamesThePort(t *testing.T) {
 	is := is.New(t)
-	first, err := port.Listen("metrics", "127.0.0.1:0", nil)
+	first, err := port.Listen("metrics", "127.0.0.1:0", nil, budget(), 10)
 	is.NoErr(err)
 	defer func() { is.NoErr(first.Close()) }()
-	_, err = port.Listen("metrics", first.Address(), nil)
+	_, err = port.Listen("metrics", first.Address(), nil, budget(), 10)
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "listen for metrics"))
 	is.True(strings.Contains(err.Error(), first.Address()))
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -14,9 +14,11 @@
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/rattanhitch/rattanhitch/internal/port"
 	"github.com/rattanhitch/rattanhitch/internal/steperr"
 	"github.com/rattanhitch/rattanhitch/pkg/burn"
 	"github.com/rattanhitch/rattanhitch/pkg/config"
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 	"github.com/rattanhitch/rattanhitch/pkg/kernel"
 	"github.com/rattanhitch/rattanhitch/pkg/membership"
 	"github.com/rattanhitch/rattanhitch/pkg/operator"
@@ -41,7 +43,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		ID: ModuleID, After: []string{telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, burn.ModuleID},
+		ID: ModuleID, After: []string{intake.ModuleID, telemetry.ModuleID, peer.ModuleID, membership.ModuleID, config.ModuleID, permit.ModuleID, burn.ModuleID},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -66,8 +68,12 @@
 
 // Provision builds the routes and opens the listener for operators.
 func (m *Module) Provision(app *kernel.App) error {
-	var scope *telemetry.Module
+	var (
+		scope  *telemetry.Module
+		limits *intake.Module
+	)
 	err := kernel.Bind(app,
+		kernel.To(&limits, intake.ModuleID),
 		kernel.To(&scope, telemetry.ModuleID),
 		kernel.To(&m.conf, config.ModuleID),
 		kernel.To(&m.members, membership.ModuleID),
@@ -84,11 +90,23 @@
 		return err
 	}
 	m.server = &http.Server{
-		Handler:           m.routes(operator.Authenticate(app.Settings.OperatorListen, app.Settings.OperatorToken, m.router)),
+		Handler:           withTLS(m.routes(operator.Authenticate(app.Settings.OperatorListen, app.Settings.OperatorToken, m.router))),
 		ReadHeaderTimeout: headerTimeout,
 	}
-	m.listener, err = listen(app.Settings)
-	return steperr.Wrap(err, "listen for operators", app.Settings.OperatorListen)
+	listener, err := listen(app.Settings)
+	if err != nil {
+		return steperr.Wrap(err, "listen for operators", app.Settings.OperatorListen)
+	}
+	m.listener = port.Limit("operators", listener, m.server, limits.Budget, limits.OperatorConnections())
+	return nil
+}
+
+// withTLS sets the state of the TLS connection of a request, which net/http does not see behind the listener with the limits.
+func withTLS(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.TLS = intake.FromContext(r.Context()).TLS()
+		next.ServeHTTP(w, r)
+	})
 }
 
 // routes serves the health checks without authentication, because probes have no credentials, and passes all other requests to
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
@@ -193,6 +194,19 @@
 	}
 }
 
+// TLS returns the state of the TLS connection, or nil if there is none.
+func (c *Conn) TLS() *tls.ConnectionState {
+	if c == nil {
+		return nil
+	}
+	secured, ok := c.Conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	state := secured.ConnectionState()
+	return &state
+}
+
 // setState moves the connection to the list of a state. listener.mu must be held.
 func (c *Conn) setState(s state, now time.Time) {
 	l := c.listener
--- a/pkg/telemetry/port_test.go
+++ b/pkg/telemetry/port_test.go
@@ -6,15 +6,18 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/pkg/intake"
 )
 
 // Guards against metrics that a collector cannot fetch, and against an unauthenticated port that serves other paths as well.
 func TestPortServesMetricsOnly(t *testing.T) {
 	is := is.New(t)
-	none, err := listen("", http.NotFoundHandler())
+	none, err := listen("", http.NotFoundHandler(), nil)
 	is.NoErr(err)
 	is.True(none == nil)
-	p, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "up 1\n") }))
+	limits := intake.NewBudget(intake.Limits{MemoryBytes: 64 << 20, Descriptors: 1000})
+	p, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "up 1\n") }), limits)
 	is.NoErr(err)
 	p.Start()
 	base := "http://" + p.Address()
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -64,7 +64,7 @@
 	limits.SetScope(m.Scope)
 	m.handler = reporter.HTTPHandler()
 	var err error
-	m.port, err = listen(app.Settings.MetricsListen, m.handler)
+	m.port, err = listen(app.Settings.MetricsListen, m.handler, limits.Budget)
 	return err
 }
 
