Limit the memory for the heads of all answers together

What could be seen: a host ended by targets in trouble whose answers have heads of many short lines, for each request in flight.

Cause: a head of an answer could have 256 KB, which take twenty times that once they are parsed, without a sum; the transports between hosts and to the platform kept net/http's limits of 1 and 10 MB.

Change: a head of an answer may have 64 KiB. What it takes beyond an ordinary one is reserved from the quota for answers before it is parsed, and a long one already while it arrives; without memory the answer counts as broken. Heads between hosts may have 256 KiB, those of the platform's answers 64 KiB. Other hosts' answers are parsed before they could be measured; what they carry has passed these limits at the host that sent them.

TestHeadsOfResponsesReserveMemory shows the reservation.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -53,6 +53,8 @@
 	permitReleased bool
 	// reserved is the memory for the part of the response body that has been read and not yet sent to the caller.
 	reserved quota.Reservation
+	// head is the memory for the head of the response.
+	head quota.Reservation
 }
 
 // answer is an accepted response that has not been streamed yet. Its attempt is still open, and whoever holds the answer must
@@ -81,6 +83,7 @@
 	if h.opts.Dialect.PreservesRequestID() {
 		a.targetRequestID = rq.hints.ID
 	}
+	a.head.From = h.opts.Answers
 	a.ctx, a.cancel = context.WithCancelCause(rq.ctx)
 	a.findLossCause = func() lossCause { return h.findLossCause(rq, a) }
 	if grant != nil {
@@ -114,6 +117,7 @@
 	}
 	a.releasePermit(outcome)
 	a.reserved.Release()
+	a.head.Release()
 	a.cancel(nil)
 	a.cancelDeadline()
 }
--- a/pkg/entry/limits.go
+++ b/pkg/entry/limits.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 	"github.com/rattanhitch/rattanhitch/internal/quota"
 	"github.com/rattanhitch/rattanhitch/pkg/entry/reply"
 	"github.com/rattanhitch/rattanhitch/pkg/intake"
@@ -84,5 +85,5 @@
 	for _, values := range r.Header {
 		lines += len(values)
 	}
-	return reserved.Grow(intake.HeadBytes(headerBytes(r), lines))
+	return reserved.Grow(httphead.Memory(headerBytes(r), lines))
 }
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -27,7 +27,7 @@
 	var info dialect.ResponseInfo
 	resp, err := h.targets.RoundTrip(out, upstream.Options{
 		Address: a.grant.Address, DedicatedConn: rq.isRecordedCommand(), RequestID: a.sharedID(),
-		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.record.trace,
+		SkipMismatched: h.opts.Dialect.MayDuplicateResponses(), Trace: &a.record.trace, Reserve: a.head.Grow,
 		Matches: func(resp *http.Response) upstream.Match {
 			info = h.opts.Dialect.ReadResponse(resp)
 			return a.match(info)
--- a/pkg/entry/upstream/conn.go
+++ b/pkg/entry/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"math"
@@ -21,7 +22,7 @@
 
 const (
 	// maxHeaderBytes limits the header of a response, together with the informational responses before it.
-	maxHeaderBytes = 256 << 10
+	maxHeaderBytes = 64 << 10
 	// maxMismatched limits the responses that are read for one request, and maxMismatchedBytes the body of each one that is
 	// skipped because it belongs to another request.
 	maxMismatched      = 4
@@ -51,6 +52,8 @@
 	// stopWatching ends watchContext. It returns false if the context has ended before.
 	stopWatching func() bool
 	closed       atomic.Bool
+	// reserve reserves memory for the head of the present response.
+	reserve func(n int64) bool
 	// write is the writing of the present request in a goroutine of its own; nil if the request is written synchronously.
 	write *backgroundWrite
 }
@@ -122,6 +125,7 @@
 // exchange sends the request and returns the matching response once its header has arrived.
 func (c *conn) exchange(req *http.Request, o Options) (*http.Response, error) {
 	o.Trace.EarlierRequests = c.requestCount
+	c.reserve = o.reserve
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
 	}
@@ -194,6 +198,9 @@
 		if err := httphead.Check(head); err != nil {
 			return nil, errors.Wrap(err, "check the head of the response")
 		}
+		if !c.reserve(httphead.Memory(len(head), bytes.Count(head, []byte("\n")))) {
+			return nil, errNoMemory
+		}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, err
--- a/pkg/entry/upstream/head.go
+++ b/pkg/entry/upstream/head.go
@@ -9,6 +9,9 @@
 	"github.com/rattanhitch/rattanhitch/internal/httphead"
 )
 
+// errNoMemory means that there is no memory for the head of a response.
+var errNoMemory = errors.New("no memory for the head of the response")
+
 // source is what the reader of a connection reads from: bytes that were read ahead, and then the connection.
 type source struct {
 	pending []byte
@@ -53,6 +56,9 @@
 	data := bytes.Clone(buffered)
 	_, _ = c.reader.Discard(len(data))
 	for {
+		if !c.reserve(readBufferBytes) {
+			return nil, errNoMemory
+		}
 		searched := len(data)
 		data = append(data, make([]byte, readBufferBytes)...)
 		n, err := c.source.Read(data[searched:])
--- a/pkg/entry/upstream/strict_test.go
+++ b/pkg/entry/upstream/strict_test.go
@@ -133,3 +133,32 @@
 		})
 	}
 }
+
+// Guards against heads of responses that take memory without a bound: there is a limit for each, and their sum is reserved.
+func TestHeadsOfResponsesReserveMemory(t *testing.T) {
+	is := is.New(t)
+	lines := strings.Repeat("a:\r\n", 2000)
+	raw := "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\nok"
+	tg := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, raw)
+	})
+	reserved, limit := int64(0), int64(1<<20)
+	o := tg.options()
+	o.Reserve = func(n int64) bool {
+		reserved += n
+		return reserved <= limit
+	}
+	resp, err := newClient().RoundTrip(request(t.Context(), "a"), o)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.True(reserved > 2000*100) // the parsed lines
+	limit = reserved
+	_, err = newClient().RoundTrip(request(t.Context(), "a"), o)
+	is.True(err != nil)
+	raw = answer("a", "ok")
+	limit = 0
+	resp, err = newClient().RoundTrip(request(t.Context(), "a"), o) // an ordinary head needs nothing
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
--- a/pkg/entry/upstream/upstream.go
+++ b/pkg/entry/upstream/upstream.go
@@ -56,6 +56,9 @@
 	// SkipMismatched is set if targets may send duplicate responses. A response that does not match is then skipped, because the
 	// right one follows it.
 	SkipMismatched bool
+	// Reserve reserves memory in bytes for the head of the response, beyond that of an ordinary one, and reports whether there is any. The caller
+	// returns it once it needs the response no longer. Nil means that there always is.
+	Reserve func(n int64) bool
 	// Trace, if set, is filled in while the request is sent and its response is awaited.
 	Trace *Trace
 }
@@ -81,6 +84,8 @@
 	MatchOther
 )
 
+func (o Options) reserve(n int64) bool { return n == 0 || o.Reserve == nil || o.Reserve(n) }
+
 func (o Options) match(resp *http.Response) Match {
 	if o.Matches == nil {
 		return MatchNoID
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 	"github.com/rattanhitch/rattanhitch/internal/quota"
 )
 
@@ -122,7 +123,7 @@
 // reserveHead reserves memory for the head, and returns the reason to refuse it or an empty one. listener.mu must be held.
 func (c *Conn) reserveHead() Reason {
 	f := &c.framer
-	missing := HeadBytes(f.headBytes, f.lines) - c.head.Held()
+	missing := httphead.Memory(f.headBytes, f.lines) - c.head.Held()
 	switch {
 	case f.headBytes > c.listener.port.MaxHeadBytes():
 		return ReasonHeadTooLarge
@@ -171,7 +172,7 @@
 		c.setState(stateIdle, time.Now())
 		return
 	}
-	c.head.ShrinkTo(HeadBytes(c.framer.headBytes, c.framer.lines))
+	c.head.ShrinkTo(httphead.Memory(c.framer.headBytes, c.framer.lines))
 	c.setState(stateReading, time.Now())
 }
 
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -119,17 +119,3 @@
 	log.Warn().Str("step", "intake").Str("port", l.port.Name).Str("peer", peer).Str("reason", string(r)).Int("left_out", leftOut).
 		Int("connections", l.Open()).Int64("free_head_bytes", l.budget.Heads.Free()).Msg("client refused for the limits of this host")
 }
-
-const (
-	// bytesPerLine is the memory for a line of a head while its request is served: entries in the maps of the request and of its copies.
-	bytesPerLine = 256
-	// copiesOfBytes is how often the bytes of a head are held.
-	copiesOfBytes = 2
-	// freeHead is the memory for a head that each connection may use without a reservation.
-	freeHead = 16 << 10
-)
-
-// HeadBytes returns the memory to reserve for a head of the given number of bytes and lines; 0 for an ordinary one.
-func HeadBytes(size, lines int) int64 {
-	return max(int64(copiesOfBytes*size+bytesPerLine*lines)-freeHead, 0)
-}
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/httphead"
 )
 
 const waitLimit = 10 * time.Second
@@ -139,7 +141,7 @@
 	b := newTestBudget()
 	p := newTestPort(t, b, Port{Name: "test", Connections: 100})
 	total := b.Heads.Free()
-	size := HeadBytes(len(get)+len(lines(2000)), 2002)
+	size := httphead.Memory(len(get)+len(lines(2000)), 2002)
 	var crowd []*client
 	for range total / size {
 		crowd = append(crowd, p.dial().send(get+lines(2000)))
--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -51,6 +51,7 @@
 	}
 	return &forwardTransport{to: to, http: httphead.Transport{Base: &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, WriteBufferSize: 32 << 10, ReadBufferSize: 32 << 10,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -63,7 +63,8 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.forwardServer = &http.Server{
 		Handler: http.NotFoundHandler(), ConnContext: forwardContext, ReadHeaderTimeout: headerTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
+		MaxHeaderBytes: maxHeadBytes,
+		ErrorLog:       stdlog.New(io.Discard, "", 0),
 	}
 	return n
 }
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -41,6 +41,8 @@
 	// defaultHandshakes is the default of Options.MaxHandshakes.
 	defaultHandshakes = 128
 
+	// maxHeadBytes is the longest head of a forwarded request or its response: that of a caller or a target with what hosts add.
+	maxHeadBytes = 256 << 10
 	// maxMessage is the largest encoded call or answer, in bytes.
 	maxMessage = 4 << 20
 	// maxHello is the largest encoded Hello, in bytes.
--- a/pkg/store/httpkv/client.go
+++ b/pkg/store/httpkv/client.go
@@ -24,6 +24,8 @@
 	dialTimeout = time.Second
 	// maxResponseBytes limits one response body, so that a faulty platform can't exhaust the memory of a host.
 	maxResponseBytes = 64 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 	// maxIdleConns limits the idle connections to the platform.
 	maxIdleConns = 8
 	// idleConnTimeout is the time after which an idle connection is closed.
@@ -55,6 +57,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	// Redirects are not followed, because a write would be sent a second time.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
