Cut callers' IDs in log lines

A caller's request ID may be as long as a head, and the log line of a request repeated it: up to 60 lines of 16 KB a second. Other long values of callers stay at the host: affinity keys and paths travel as hashes, idempotency keys have 200 bytes at most, and targets still get the whole ID.

--- a/pkg/entry/log.go
+++ b/pkg/entry/log.go
@@ -89,10 +89,13 @@
 	return line
 }
 
-// logID returns the caller's ID of the request, or this host's if the caller sent none.
+// maxLoggedID limits the length in bytes of a caller's ID in a log line. A caller may send as much as a head holds.
+const maxLoggedID = 128
+
+// logID returns the start of the caller's ID of the request, or this host's ID if the caller sent none.
 func (rq *request) logID() string {
 	if rq.hints.ID != "" {
-		return rq.hints.ID
+		return rq.hints.ID[:min(len(rq.hints.ID), maxLoggedID)]
 	}
 	return rq.id
 }
