Limit the memory for bodies at the operators' port

What could be seen: a host ended by clients whose messages at the operators' port stop just short of their end, found by reading the list of ports again.

Cause: a message of up to 1 MiB is read into memory as a whole, for each of 64 connections; a buffer of the stated length is made before the first byte is read.

Change: handlers of the other ports reserve three times the size of a body from the host's quota for bodies, the stated length at once and a body in chunks as it arrives. Without memory the request is refused, and the one without progress that has stood still for the longest time is given up.

TestBodiesShareABound shows the sum and that small requests go on.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -40,12 +40,14 @@
 	return &Server{purpose: purpose, listener: Limit(purpose, listener, server, budget, connections), server: server}, nil
 }
 
-// Limit returns a listener for the connections that inner accepts and the server serves, with the limits of Listen.
+// Limit returns a listener for the connections that inner accepts and the server serves, with the limits of Listen. It wraps the handler of the server,
+// so that bodies take part in the budget, too.
 func Limit(purpose string, inner net.Listener, server *http.Server, budget *intake.Budget, connections int) *intake.Listener {
 	listener := budget.Listen(inner, intake.Port{
 		Name: purpose, Connections: connections, MaxHeadBytes: func() int { return maxHeadBytes },
 	})
 	listener.Attach(server)
+	server.Handler = budget.LimitBodies(server.Handler)
 	return listener
 }
 
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -43,7 +43,7 @@
 // Guards against an error of Listen that names neither the purpose nor the address of the listener.
 func TestListenNamesThePort(t *testing.T) {
 	is := is.New(t)
-	first, err := port.Listen("metrics", "127.0.0.1:0", nil, budget(), 10)
+	first, err := port.Listen("metrics", "127.0.0.1:0", http.NotFoundHandler(), budget(), 10)
 	is.NoErr(err)
 	defer func() { is.NoErr(first.Close()) }()
 	_, err = port.Listen("metrics", first.Address(), nil, budget(), 10)
--- a/pkg/daemon/crowd_ports_test.go
+++ b/pkg/daemon/crowd_ports_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -16,6 +18,22 @@
 	}
 }
 
+// Guards against clients that end a host by the memory for bodies at the operators' port, which reads messages of up to 1 MiB.
+func TestBodiesAtTheOperatorsPortStayInMemory(t *testing.T) {
+	const head = "POST /rattanhitch.operator.v1.OperatorService/Apply HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\n"
+	s := newSmallHost(t, smallHostDescriptors)
+	for name, message := range map[string]string{
+		"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 1<<20, strings.Repeat("b", 1<<20-1)),
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("b", 0x1000)+"\r\n", 255),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s.restart(t)
+			s.join(crowd{size: 100, address: s.operators(), payload: head + message})
+			s.check(name)
+		})
+	}
+}
+
 // Guards against clients that take the descriptors of a host, which it needs for targets, other hosts and the platform: a host with 300 left
 // ordinary requests without an answer beside 600 idle connections.
 func TestConnectionsOfClientsLeaveDescriptors(t *testing.T) {
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -37,7 +37,7 @@
 		p.MaxHeadBytes = func() int { return 16 << 10 }
 	}
 	tp := &testPort{Listener: b.Listen(inner, p), t: t, address: inner.Addr().String(), serving: make(chan struct{})}
-	server := &http.Server{Handler: http.HandlerFunc(tp.serve)}
+	server := &http.Server{Handler: b.LimitBodies(http.HandlerFunc(tp.serve))}
 	tp.Attach(server)
 	go func() { _ = server.Serve(tp.Listener) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -254,3 +254,25 @@
 	<-p.serving
 	is.Equal(held.status(), 200)
 }
+
+// Guards against bodies that handlers read into memory without a bound for their sum, and against memory that is not returned.
+func TestBodiesShareABound(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget()
+	total := b.Bodies.Free()
+	p := newTestPort(t, b, Port{Name: "test", Connections: 100})
+	size := int(total/copiesOfBody) + freeBody
+	body := func(n int) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", strings.Replace(get, "GET", "POST", 1), n)
+	}
+	is.Equal(p.dial().send(body(size)+strings.Repeat("x", size)).status(), 200)
+	p.waitFor("the memory", func() bool { return b.Bodies.Free() == total })
+	stalled := p.dial().send(body(size) + strings.Repeat("x", size-1))
+	p.waitFor("the body", func() bool { return b.Bodies.Free() < copiesOfBody })
+	is.Equal(p.dial().send(body(100)+strings.Repeat("x", 100)).status(), 200)
+	is.Equal(p.dial().send(body(2*freeBody)+strings.Repeat("x", 2*freeBody)).status(), 503)
+	time.Sleep(stallGrace)
+	is.Equal(p.dial().send(body(2*freeBody)+strings.Repeat("x", 2*freeBody)).status(), 503)
+	is.Equal(stalled.status(), 408) // given up for the next one
+	p.waitFor("the memory", func() bool { return b.Bodies.Free() == total })
+}
