Reset the connection of a request that is given up at the gateway of a tunnel

What could be seen: a request that a host has given up runs later at its target, after a partition between the gateway and the target.

Cause: the gateway ended its connection with a plain close, after which the kernel goes on sending.

Change: it resets the connection when the other host breaks off, and when the tunnel has ended.

Evidence: TestGatewayResetsWhatIsGivenUp failed before: the target saw an orderly end.

--- a/pkg/tunnel/serve.go
+++ b/pkg/tunnel/serve.go
@@ -58,7 +58,7 @@
 		return
 	}
 	d.metrics.served.Inc(1)
-	defer func() { _ = target.Close() }()
+	defer reset(target)
 	if err := splice(w, r, target); err != nil {
 		log.Debug().Err(err).Str("step", "serve tunnel").Str("peer", address).Msg("tunnel broke off")
 		panic(http.ErrAbortHandler) // the other host must not take the end of the bytes for the end of the connection
@@ -82,7 +82,10 @@
 	out := &targetWriter{target: target}
 	go func() {
 		// The copy ends when the other host closes its side, which it does at the latest after the end of the response.
-		_, _ = io.Copy(out, r.Body)
+		if _, err := io.Copy(out, r.Body); err != nil {
+			reset(target)
+			return
+		}
 		_ = target.Close()
 	}()
 	if err := copyAndFlush(w, control, target); err != nil {
@@ -91,6 +94,15 @@
 	return out.finish()
 }
 
+// reset ends the connection to a target whose request the other host has given up, or that has ended already. After a plain close the kernel would go on
+// sending the request, and the target might run it long after its caller had the answer.
+func reset(target net.Conn) {
+	if l, ok := target.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0) // it fails only on a closed connection
+	}
+	_ = target.Close()
+}
+
 // targetWriter writes to a target and keeps the first error. The kernel tells a reset once: if the writer learns of it, the reader sees a plain
 // end.
 type targetWriter struct {
--- a/pkg/tunnel/serve_test.go
+++ b/pkg/tunnel/serve_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -79,3 +80,23 @@
 	}
 	is.New(t).Equal(complete, 0) // parts of responses that count as complete
 }
+
+// Guards against a request that a host gives up and that its gateway's kernel delivers later, for example after a partition: the gateway must reset the
+// connection to the target, as the host does with its own.
+func TestGatewayResetsWhatIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	d := newDomain(t, 3, func(conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, 1))
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	}, "a", "b")
+	d.setCut("a", true)
+	conn, err := d.dial("a")
+	is.NoErr(err)
+	_, err = conn.Write([]byte("?"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the target has read it
+	is.NoErr(conn.Close())
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
