Remember refused reports of several processes of a row

What could be seen: requests at a target that left.

Cause: a row remembered the last refused report of one process only, and that of another process replaced it.

Change: it remembers one for each of up to four processes. Messages between hosts carry the latest one, as before.

Evidence: TestRefusedReportsOfSeveralProcessesAreKnown failed before.

--- a/pkg/watch/messages.go
+++ b/pkg/watch/messages.go
@@ -44,8 +44,8 @@
 		Key: key, Value: r.value, Version: r.version, Deleted: r.deleted, Expired: r.expired, Confirmed: r.confirmed,
 		KnownMs: uint32(now.Sub(latest(r.learnedAt, r.lastDeletedAt)).Milliseconds()),
 	}
-	if r.lastRefused != nil {
-		m.Refused = &peerv1.WatchedOrder{Start: r.lastRefused.Start, Sequence: r.lastRefused.Sequence}
+	if n := len(r.refused); n > 0 {
+		m.Refused = &peerv1.WatchedOrder{Start: r.refused[n-1].Start, Sequence: r.refused[n-1].Sequence}
 	}
 	return m
 }
--- a/pkg/watch/order_test.go
+++ b/pkg/watch/order_test.go
@@ -242,6 +242,24 @@
 	}
 }
 
+// Guards against a late report that is accepted once late reports cannot be told by their time any more: a later one of the same process was refused,
+// and then one of another process.
+func TestRefusedReportsOfSeveralProcessesAreKnown(t *testing.T) {
+	is := is.New(t)
+	c := newOrderedCopy("h1", time.Now())
+	c.list(1, put("a", report(9, 1, "ready"), 1))
+	c.read(2, put("a", report(5, 7, "draining"), 2))
+	c.read(3, put("a", report(6, 2, "draining"), 3))
+	for range maxWriteDelay / time.Second {
+		c.now = c.now.Add(time.Second)
+		c.read(3)
+	}
+	c.read(4, put("a", report(5, 6, "draining"), 4))
+	is.Equal(c.values(), map[string]string{"a": report(9, 1, "ready")})
+	c.read(5, put("a", report(5, 8, "draining"), 5)) // later than all that was refused: the clock went back
+	is.Equal(c.values(), map[string]string{"a": report(5, 8, "draining")})
+}
+
 // Guards against targets that are missing after an outage of the platform in which their entries expired, where the reader is a new one.
 func TestTargetsOfAnOutageAreBackAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/pkg/watch/row.go
+++ b/pkg/watch/row.go
@@ -1,11 +1,16 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanhitch/rattanhitch/pkg/store"
 )
 
+// maxRefused limits the processes of a row of which refused values are remembered. Late writes of more within maxWriteDelay would need as many
+// restarts.
+const maxRefused = 4
+
 type row struct {
 	value   []byte
 	version uint64
@@ -22,8 +27,8 @@
 	expired bool
 	// learnedAt is when value arrived at the first host that passed it on.
 	learnedAt time.Time
-	// lastRefused is the order of the last value that was refused, or nil.
-	lastRefused *Order
+	// refused holds the orders of the last values that were refused, one for each of up to maxRefused processes, the latest one last.
+	refused []Order
 	// confirmed is set if a value of this process was accepted although the order contradicted it or did not decide.
 	confirmed bool
 	// contradictedAt is when another row was refused, or this one accepted, against the order of their versions or values, or zero. Hosts that
@@ -107,7 +112,13 @@
 
 // hasRefusedLater reports whether a later value of the same process was refused.
 func (r *row) hasRefusedLater(a *arrival) bool {
-	return r.lastRefused != nil && r.lastRefused.Start == a.order.Start && !a.order.after(*r.lastRefused)
+	i := r.refusedOf(a.order.Start)
+	return i >= 0 && !a.order.after(r.refused[i])
+}
+
+// refusedOf returns the index of the last refused value of a process, or -1.
+func (r *row) refusedOf(start uint64) int {
+	return slices.IndexFunc(r.refused, func(o Order) bool { return o.Start == start })
 }
 
 func (r *row) isSameProcess(o *row) bool {
@@ -158,11 +169,18 @@
 // noteRefused records the order of a value that is refused, and that other hosts must be told of it, unless a later one of the same process is
 // known.
 func (r *row) noteRefused(order *Order, now time.Time) {
-	last := r.lastRefused
-	if last != nil && last.Start == order.Start && !order.after(*last) {
+	i := r.refusedOf(order.Start)
+	if i >= 0 && !order.after(r.refused[i]) {
 		return
 	}
-	r.lastRefused, r.contradictedAt = order, now
+	if i < 0 && len(r.refused) == maxRefused {
+		i = 0
+	}
+	if i >= 0 {
+		r.refused = slices.Delete(r.refused, i, i+1)
+	}
+	r.refused = append(r.refused, *order)
+	r.contradictedAt = now
 }
 
 // noteLastValue records a value that was written before the deletion, unless a later one is known.
--- a/pkg/watch/table.go
+++ b/pkg/watch/table.go
@@ -378,7 +378,7 @@
 	var changed []store.WatchedRow
 	for key, r := range t.rows {
 		// A refused row that is missing was deleted again.
-		if listed[key] || r.deleted && r.lastRefused == nil || r.version > version {
+		if listed[key] || r.deleted && len(r.refused) == 0 || r.version > version {
 			continue
 		}
 		if t.delete(key, version, now) {
