--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -146,7 +146,7 @@
 	default:
 		return refusal(http.StatusBadRequest, reply.ReasonBadBody, "the body ended early")
 	}
-	intake.FromContext(rq.in.Context()).Serve()
+	intake.FromContext(rq.in.Context()).MarkServing()
 	return nil
 }
 
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -176,8 +176,8 @@
 	c.setState(stateReading, time.Now())
 }
 
-// Serve records that the request is being sent on although its body is not complete, so that the connection is not closed for another one.
-func (c *Conn) Serve() {
+// MarkServing records that the request is being sent on although its body is not complete, so that the connection is not closed for another one.
+func (c *Conn) MarkServing() {
 	if c == nil {
 		return
 	}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -1,4 +1,4 @@
-// Package intake limits what clients make a host hold: their connections, and the heads of their requests. It stands between the listeners of a
+// Package intake limits what clients make a host hold: their connections, and the heads and bodies of their requests. It stands between the listeners of a
 // host and net/http, which parses a head into maps, twenty times its size for short lines, before any other code sees it.
 package intake
 
@@ -68,7 +68,7 @@
 // SetScope sets the scope for counters. Call it before the first Listen.
 func (b *Budget) SetScope(s tally.Scope) { b.scope = s.SubScope("intake") }
 
-// CallerConnections, LookupConnections and OperatorConnections return the limits of connections at a port of that kind.
+// CallerConnections returns the limit of connections at the port for callers.
 func (b *Budget) CallerConnections() int { return b.connections(callerDescriptors, callerMemory) }
 
 // LookupConnections returns the limit of a port for lookups.
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -184,12 +184,15 @@
 	c := p.dial().send(get + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get + "\r\n")
 	is.Equal(c.status(), 408) // the handler finds no end of the body
 	is.Equal(c.status(), 0)
+	c = p.dial().send(get + "Content-Length: +3\r\nX: y\r\n\r\nabc" + get + "\r\n")
+	is.Equal(c.status(), 400)
+	is.Equal(c.status(), 0)
 }
 
 // Guards against a Conn that handlers of other ports cannot use.
 func TestNoConn(t *testing.T) {
 	c := FromContext(context.Background())
-	c.Serve()
+	c.MarkServing()
 	c.Reclaim()
 }
 
