Reset a tunnel's connection also where its end looks orderly

A host that gives a request up cancels it and closes its body; if the body's end is written first, the gateway sees an orderly end, and ended the connection to the target with a plain close after all.

Change: the gateway resets the connection whenever the other host has closed its side. The request has been answered or given up then.

--- a/pkg/tunnel/serve.go
+++ b/pkg/tunnel/serve.go
@@ -81,12 +81,10 @@
 	}
 	out := &targetWriter{target: target}
 	go func() {
-		// The copy ends when the other host closes its side, which it does at the latest after the end of the response.
-		if _, err := io.Copy(out, r.Body); err != nil {
-			reset(target)
-			return
-		}
-		_ = target.Close()
+		// The copy ends when the other host closes its side: after the end of the response, or because it gives the request up. The second may look
+		// like an orderly end, too.
+		_, _ = io.Copy(out, r.Body)
+		reset(target)
 	}()
 	if err := copyAndFlush(w, control, target); err != nil {
 		return err
