--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -106,6 +106,16 @@
 	p.waitFor(fmt.Sprintf("%d open connections", n), func() bool { return p.Open() == n })
 }
 
+// waitReading waits until the requests of n connections have begun and are not complete.
+func (p *testPort) waitReading(n int) {
+	p.t.Helper()
+	p.waitFor(fmt.Sprintf("%d requests that arrive", n), func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.reading.Len() == n
+	})
+}
+
 func newTestBudget() *Budget { return NewBudget(Limits{MemoryBytes: 64 << 20, Descriptors: 1000}) }
 
 // lines returns n short field lines.
@@ -221,9 +231,11 @@
 	is := is.New(t)
 	p := newTestPort(t, newTestBudget(), Port{Name: "test", Connections: 3})
 	head := p.dial().send(get)
+	p.waitReading(1) // it is the first that makes no progress
 	body := p.dial().send(post + "\r\n5\r\nab")
+	p.waitReading(2)
 	moving := p.dial().send(post + "\r\n100000\r\n")
-	p.waitOpen(3)
+	p.waitReading(3)
 	is.Equal(p.dial().send(get+"\r\n").status(), 503) // all of them make progress, as far as is known
 	for end := time.Now().Add(stallGrace + 100*time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		moving.send(strings.Repeat("x", progressBytes))
