Report the shares of a dispatcher, and what became of its callers' requests

Each dispatcher has gauges for the present and the wanted share, its demand and its capacity, counters for what ran (with the object cached or not), left or was refused, and one log line a second while these change.

TestMetricsShowTheSharesAndWhatRan fails without the counters. No decision changes.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -19,6 +19,7 @@
 		return
 	}
 	if domain := d.chooseDomain(w, now); domain != "" {
+		d.countLeft()
 		w.result <- answer{redirectTo: domain}
 		return
 	}
@@ -27,6 +28,7 @@
 	w.sequence = d.lastSequence
 	w.place, w.precedence, w.work = d.placeOf(w.from), d.precedence(w), d.expectedWork(w)
 	if r := d.admitToSlots(w, now); r != nil {
+		d.countRefused(w)
 		w.result <- d.refused(w, r, now)
 		return
 	}
@@ -131,6 +133,7 @@
 		return overdue
 	})
 	for _, w := range refused {
+		d.countRefused(w)
 		delay := d.queueDelay(w.class)
 		w.result <- d.refused(w, newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, delay), now)
 	}
--- a/pkg/permit/balance/balance.go
+++ b/pkg/permit/balance/balance.go
@@ -93,6 +93,24 @@
 	rateSamples int
 	// shares holds the share of each failure domain including this one, sorted by name.
 	shares []share
+	// plan is what the last update derived from the loads.
+	plan Plan
+}
+
+// Plan is what a dispatcher intends for the requests of its failure domain's callers, and what it derives that from.
+type Plan struct {
+	// Share is the fraction that its own failure domain serves now, Wanted the one that fits the loads.
+	Share, Wanted float64
+	// Demand is the number of slots that the requests need, Capacity the number up to which its own failure domain serves them.
+	Demand, Capacity float64
+}
+
+// Plan returns the result of the last update. Before the first one, all requests stay.
+func (b *Balancer) Plan() Plan {
+	if len(b.shares) == 0 {
+		return Plan{Share: 1, Wanted: 1}
+	}
+	return b.plan
 }
 
 // New returns a Balancer that serves all requests in its own failure domain until the first update.
@@ -127,6 +145,18 @@
 		maxShift = 1
 	}
 	b.shares = limitShift(b.shares, wanted, maxShift)
+	b.plan = b.planOf(loads, wanted)
+}
+
+// planOf returns the plan for the loads, which are sorted by name.
+func (b *Balancer) planOf(loads []Load, wanted []share) Plan {
+	p := Plan{Share: shareOf(b.shares, b.opts.Domain).fraction, Wanted: shareOf(wanted, b.opts.Domain).fraction}
+	for i, c := range capacities(loads) {
+		if loads[i].Domain == b.opts.Domain {
+			p.Demand, p.Capacity = loads[i].Demand, c
+		}
+	}
+	return p
 }
 
 // setDispatchers adapts the peaks to the number of dispatchers. How many slots of this failure domain belong to this dispatcher changes with it.
--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -90,6 +90,9 @@
 	// superseded is set once a newer dispatcher of the service is known or may exist. Nothing is granted afterwards.
 	superseded bool
 	metrics    dispatcherMetrics
+	// flow counts what became of the requests of this failure domain's callers.
+	flow        flow
+	flowMetrics flowMetrics
 	// lastStep is when the event loop last ran.
 	lastStep time.Time
 }
@@ -114,6 +117,8 @@
 		work:             worktime.New(maxRoutes),
 		routeTrials:      map[string]*trials{},
 		metrics:          newDispatcherMetrics(m.scope, service),
+		flow:             flow{share: 1, wanted: 1},
+		flowMetrics:      newFlowMetrics(m.scope, service),
 		balance: balance.New(balance.Options{
 			Domain: m.opts.FailureDomain, Region: m.self.Region, ShiftShare: m.opts.ShiftShare, ShiftWindow: m.opts.ShiftWindow,
 		}),
@@ -248,6 +253,7 @@
 	d.grantWaiting(now)
 	d.refuseOverdue(now)
 	d.updateGauges(now)
+	d.reportFlow(now)
 }
 
 // nextWake returns the latest time at which processDue must run again.
--- a/pkg/permit/metrics_test.go
+++ b/pkg/permit/metrics_test.go
@@ -69,3 +69,33 @@
 		is.Equal(value, 0.0)
 	}
 }
+
+// Guards against a shift between regions that no log or metric explains: what the dispatcher wants and allows, and what became of the requests.
+func TestMetricsShowTheSharesAndWhatRan(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	d := newTestDispatcher(0, firstTerm)
+	d.flowMetrics = newFlowMetrics(scope, "s")
+	own, forwarded := &waiter{}, &waiter{req: Request{Forwarded: true}}
+	d.countRan(own, true)
+	d.countRan(own, false)
+	d.countRan(forwarded, true)
+	d.countRefused(own)
+	d.countRefused(forwarded)
+	d.countLeft()
+	now := time.Now()
+	d.reportFlow(now)
+	d.countLeft()
+	d.reportFlow(now.Add(flowInterval / 2)) // too early
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		is.Equal(c.Tags()["service"], "s")
+		counts[c.Tags()["result"]] = c.Value()
+	}
+	is.Equal(counts, map[string]int64{"ran": 2, "ran_cached": 1, "left": 1, "refused": 1})
+	gauges := map[string]float64{}
+	for _, g := range scope.Snapshot().Gauges() {
+		gauges[g.Name()] = g.Value()
+	}
+	is.Equal(gauges, map[string]float64{"own_share": 1, "own_share_wanted": 1, "own_demand_slots": 0, "own_capacity_slots": 0})
+}
