Replay the load of a full region at the decisions of the dispatchers

The tests play three regions, event by event at simulated times, without messages and connections: targets with caches, callers that repeat a refused request, and loads that move to a small region, away from it and back, grow everywhere, or exceed all slots. They count where requests run, as the rule does.

--- /dev/null
+++ b/pkg/permit/shift_test.go
@@ -0,0 +1,136 @@
+package permit
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanhitch/rattanhitch/internal/soak"
+)
+
+const (
+	// shiftLimit is the stated limit: the part of a region's requests that may change the region in which they run from one window to the next.
+	shiftLimit = 0.15
+	// minShiftRequests is the least number of requests in a window that counts. Those of fewer differ by more than the limit by chance.
+	minShiftRequests = 100
+	// settleTime is the time in which dispatchers learn the loads without a limit, and targets fill their caches.
+	settleTime   = 8 * time.Second
+	replayLength = 30 * time.Second
+)
+
+// rateStep is a change of the requests a second at a time since the start.
+type rateStep struct {
+	at   time.Duration
+	rate float64
+}
+
+// stepRate returns a rate that changes in steps.
+func stepRate(first float64, steps ...rateStep) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		rate := first
+		for _, s := range steps {
+			if t >= s.at {
+				rate = s.rate
+			}
+		}
+		return rate
+	}
+}
+
+// smallRegion has a tenth of the slots, for which its callers ask at other rates than those of the other regions.
+func smallRegion(rate func(time.Duration) float64) replayRegion {
+	return replayRegion{"small", 12, 4, rate}
+}
+
+// withLargeRegions adds two regions whose callers need half of the slots there at a factor of 1.
+func withLargeRegions(small replayRegion, factor func(time.Duration) float64) []replayRegion {
+	scaled := func(rate float64) func(time.Duration) float64 {
+		return func(t time.Duration) float64 { return rate * factor(t) }
+	}
+	return []replayRegion{small, {"b", 26, 8, scaled(400)}, {"c", 24, 8, scaled(380)}}
+}
+
+// shiftLoads are loads in which only the traffic changes.
+func shiftLoads() map[string][]replayRegion {
+	const s = time.Second
+	steady := stepRate(1)
+	return map[string][]replayRegion{
+		"clients move to the region": withLargeRegions(
+			smallRegion(stepRate(170, rateStep{12 * s, 280}, rateStep{18 * s, 420}, rateStep{20 * s, 230})), steady),
+		"three times the clients": withLargeRegions(smallRegion(stepRate(170, rateStep{12 * s, 510}, rateStep{20 * s, 170})), steady),
+		"clients leave and come back": withLargeRegions(
+			smallRegion(stepRate(300, rateStep{12 * s, 60}, rateStep{16 * s, 300}, rateStep{22 * s, 100}, rateStep{24 * s, 300})), steady),
+		"growth everywhere": withLargeRegions(
+			smallRegion(stepRate(230, rateStep{14 * s, 460}, rateStep{20 * s, 230})), stepRate(1, rateStep{14 * s, 2}, rateStep{20 * s, 1})),
+		"more than all slots serve": withLargeRegions(smallRegion(stepRate(400)), stepRate(2.2)),
+	}
+}
+
+// checkShift reports the regions whose requests change their region faster than the limit.
+func (r *replay) checkShift(t *testing.T, name string) {
+	t.Helper()
+	for _, d := range r.domains {
+		most, at := d.shareChange(r.start, settleTime, minShiftRequests)
+		t.Logf("%s, %s: %s, largest change %.2f at %v", name, d.name, d.summary(), most, at)
+		if most > shiftLimit {
+			t.Errorf("%s: %.0f of 100 requests of %s changed their region at %v", name, 100*most, d.name, at)
+		}
+	}
+}
+
+// Guards against a full region whose requests change their region faster than the limit, because what was meant to stay is refused, or waits until
+// the requests that leave have stopped.
+func TestFullRegionKeepsTheShiftLimit(t *testing.T) {
+	for name, regions := range shiftLoads() {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				r := newReplay(seed, shiftLimit, regions...)
+				r.run(replayLength)
+				r.checkShift(t, name)
+			}
+		})
+	}
+}
+
+// Guards against a full region that serves less the more it is asked for: requests that have waited took slots of targets that had not cached their
+// objects, needed several times as long, and others waited longer.
+func TestFullRegionKeepsItsThroughput(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(3) {
+		r := newReplay(seed, shiftLimit, withLargeRegions(smallRegion(stepRate(230, rateStep{14 * time.Second, 690})), stepRate(1))...)
+		r.run(20 * time.Second)
+		small := r.domains[0]
+		before := small.ranHere(r.start.Add(10*time.Second), r.start.Add(14*time.Second))
+		after := small.ranHere(r.start.Add(15*time.Second), r.start.Add(19*time.Second))
+		t.Logf("seed %d: %d requests ran in the region in the 4 s before, %d after; %s", seed, before, after, small.summary())
+		is.True(after >= before)
+	}
+}
+
+// Guards against loads that none of the others has: regions of several sizes whose clients come and go at any time, and growth everywhere.
+func TestRandomLoadsKeepTheShiftLimit(t *testing.T) {
+	first, rounds := soak.Parameter(t, soak.Seed, 1), soak.Parameter(t, soak.Rounds, 6)
+	for seed := first; seed < first+rounds; seed++ {
+		rng := rand.New(rand.NewPCG(uint64(seed), 2))
+		small := smallRegion(randomRate(rng, 150+200*rng.Float64(), 0.3, 2.5))
+		small.targets = 8 + rng.IntN(10)
+		r := newReplay(uint64(seed), shiftLimit, withLargeRegions(small, randomRate(rng, 0.8, 0.6, 1.8))...)
+		r.run(replayLength)
+		r.checkShift(t, "seed "+strconv.Itoa(seed))
+	}
+}
+
+// randomRate returns a rate that is multiplied by a random factor, between the given ones, for a few seconds now and then.
+func randomRate(rng *rand.Rand, usual, least, most float64) func(time.Duration) float64 {
+	var steps []rateStep
+	for at := settleTime; at < replayLength; {
+		at += time.Duration((1 + 4*rng.Float64()) * float64(time.Second))
+		steps = append(steps, rateStep{at, usual * (least + (most-least)*rng.Float64())})
+		at += time.Duration((1 + 4*rng.Float64()) * float64(time.Second))
+		steps = append(steps, rateStep{at, usual})
+	}
+	return stepRate(usual, steps...)
+}
