Hold the limit on shifts for what runs

What callers saw: the region in which they were served changed within seconds, more often than the deployment allows, although the dispatchers' choices kept the limit.

Cause: the limit held for the shares, that is for what a dispatcher meant to do. When more requests arrive than a full region serves, those that are meant to stay are refused, those that leave grow with the arrivals, and the part that runs in the region falls without any choice.

Change: the balancer counts what was granted a slot here and what left, in two windows of the limit side by side, and deviates from the shares where the part that runs here would change by more than 0.8 of the limit: a request stays that may not leave, and another one leaves that may not return. Shares move at 0.8 of the limit when requests have to leave, and at 0.45 of it when they return.

--- a/pkg/permit/balance/balance.go
+++ b/pkg/permit/balance/balance.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -34,6 +35,12 @@
 	// biasGain is how much the hash range of a failure domain changes for each request of its deficit. Hash ranges in proportion
 	// to the shares are not enough, because some objects are more popular than others.
 	biasGain = 0.0005
+	// runLimitFraction is the part of the limit on shifts that the requests may use which run: some of them start later than others, and may be refused
+	// elsewhere. leaveFraction and returnFraction are the parts that the shares may use. Requests that leave a full region would be refused
+	// there. Those that return have a slot where they are, and a slow return keeps room for callers that come back.
+	runLimitFraction = 0.8
+	leaveFraction    = 0.8
+	returnFraction   = 0.45
 )
 
 // NoDomain stands for an unknown failure domain.
@@ -52,7 +59,7 @@
 type Options struct {
 	// Domain and Region are the failure domain of the dispatcher and its region.
 	Domain, Region string
-	// ShiftShare is the fraction of requests that may move between failure domains within ShiftWindow.
+	// ShiftShare is the fraction of requests that may change the failure domain in which they run from one ShiftWindow to the next.
 	ShiftShare  float64
 	ShiftWindow time.Duration
 }
@@ -95,6 +102,7 @@
 	shares []share
 	// plan is what the last update derived from the loads.
 	plan Plan
+	runs *runs
 }
 
 // Plan is what a dispatcher intends for the requests of its failure domain's callers, and what it derives that from.
@@ -114,11 +122,14 @@
 }
 
 // New returns a Balancer that serves all requests in its own failure domain until the first update.
-func New(o Options) *Balancer { return &Balancer{opts: o} }
+func New(o Options) *Balancer { return &Balancer{opts: o, runs: newRuns(o.ShiftWindow)} }
 
 // CountArrival counts a request of a caller of this failure domain.
 func (b *Balancer) CountArrival() { b.arrivals++ }
 
+// CountRun counts a request of a caller of this failure domain that runs in it.
+func (b *Balancer) CountRun() { b.runs.countHere() }
+
 // Update moves the shares towards those that fit the loads, at most once per updateInterval. It calls observe only if it does.
 func (b *Balancer) Update(now time.Time, observe func() Observation) {
 	elapsed := now.Sub(b.updatedAt)
@@ -140,14 +151,44 @@
 		b.unlimitedUntil = now.Add(unlimitedShiftPeriod)
 	}
 	wanted := balancedShares(b.opts.Domain, loads)
-	maxShift := b.opts.ShiftShare * float64(elapsed) / float64(b.opts.ShiftWindow)
-	if b.arrivalRate == 0 || now.Before(b.unlimitedUntil) {
-		maxShift = 1
-	}
-	b.shares = limitShift(b.shares, wanted, maxShift)
+	b.runs.advance(now)
+	b.shares = limitShift(b.shares, wanted, b.maxShift(wanted, elapsed, now))
 	b.plan = b.planOf(loads, wanted)
 }
 
+// maxShift returns how far the shares may move towards the wanted ones after a time.
+func (b *Balancer) maxShift(wanted []share, elapsed time.Duration, now time.Time) float64 {
+	if b.arrivalRate == 0 || !b.limited(now) {
+		return 1
+	}
+	fraction := returnFraction
+	if shareOf(wanted, b.opts.Domain).fraction < shareOf(b.shares, b.opts.Domain).fraction {
+		fraction = leaveFraction
+	}
+	return fraction * b.opts.ShiftShare * float64(elapsed) / float64(b.opts.ShiftWindow)
+}
+
+// limited reports whether the limit on shifts applies.
+func (b *Balancer) limited(now time.Time) bool { return !now.Before(b.unlimitedUntil) }
+
+// applyRunLimit returns the share that a request gets of which the shares have selected one, so that what runs keeps the limit: the selected one, that of
+// this failure domain if no more may leave, or another one if no more may return. The shares alone don't keep it. When more requests arrive than a full
+// region serves, those that are meant to stay are refused, and those that leave grow with the arrivals; when the arrivals end, those that have
+// waited run here, and nothing else leaves.
+func (b *Balancer) applyRunLimit(selected *share) *share {
+	if !b.limited(b.updatedAt) {
+		return selected
+	}
+	most := runLimitFraction * b.opts.ShiftShare
+	switch stays := selected.domain == b.opts.Domain; {
+	case !stays && !b.runs.allowsAway(most):
+		return b.ownShare()
+	case stays && !b.runs.allowsHere(most):
+		return cmp.Or(b.neediestOther(), selected)
+	}
+	return selected
+}
+
 // planOf returns the plan for the loads, which are sorted by name.
 func (b *Balancer) planOf(loads []Load, wanted []share) Plan {
 	p := Plan{Share: shareOf(b.shares, b.opts.Domain).fraction, Wanted: shareOf(wanted, b.opts.Domain).fraction}
@@ -223,16 +264,23 @@
 	return sum / float64(max(1, count))
 }
 
-// Choose returns the failure domain to which a request is redirected, or an empty string if it is served in this one.
+// Choose returns the failure domain to which a request is redirected, or an empty string if it is served or refused in this one. A request with home
+// regions does not count for the limit on shifts.
 func (b *Balancer) Choose(r Request) string {
 	if len(r.HomeRegions) > 0 {
 		return b.chooseHomeDomain(r.HomeRegions)
 	}
-	chosen := b.pickShare(r.Object)
-	if chosen == nil || chosen.domain == b.opts.Domain {
+	selected := b.pickShare(r.Object)
+	if selected == nil {
+		return ""
+	}
+	selected = b.applyRunLimit(selected)
+	selected.deficit--
+	if selected.domain == b.opts.Domain {
 		return ""
 	}
-	return chosen.domain
+	b.runs.countAway()
+	return selected.domain
 }
 
 // chooseHomeDomain returns the failure domain of a request that may be served in its home regions only: an empty string if this
--- a/pkg/permit/balance/balance_test.go
+++ b/pkg/permit/balance/balance_test.go
@@ -205,6 +205,7 @@
 	for i := range requests {
 		object := i * 7 % objects
 		s := b.pickShare(objectHash(object))
+		s.deficit--
 		counts[s.domain]++
 		if places[object] == nil {
 			places[object] = map[string]int{}
--- a/pkg/permit/balance/shares.go
+++ b/pkg/permit/balance/shares.go
@@ -128,7 +128,7 @@
 	return share{}
 }
 
-// pickShare selects the share whose hash range contains the object and charges the request to it. It selects the share with the
+// pickShare selects the share whose hash range contains the object. It selects the share with the
 // largest deficit instead if the request has no object, or if a deficit or surplus exceeds maxDeficit. It returns nil if there
 // are no shares.
 func (b *Balancer) pickShare(object uint64) *share {
@@ -153,10 +153,27 @@
 	if chosen == nil || object == 0 || chosen.deficit < -maxDeficit || neediest.deficit > maxDeficit {
 		chosen = neediest
 	}
-	chosen.deficit--
 	return chosen
 }
 
+// ownShare returns the share of this failure domain, which is always among the shares.
+func (b *Balancer) ownShare() *share {
+	i := slices.IndexFunc(b.shares, func(s share) bool { return s.domain == b.opts.Domain })
+	return &b.shares[i]
+}
+
+// neediestOther returns the share with the largest deficit of the other failure domains that get requests, or nil if none does.
+func (b *Balancer) neediestOther() *share {
+	var best *share
+	for i := range b.shares {
+		s := &b.shares[i]
+		if s.domain != b.opts.Domain && s.fraction > 0 && (best == nil || s.deficit > best.deficit) {
+			best = s
+		}
+	}
+	return best
+}
+
 // totalSpan returns the sum of the widths of all hash ranges.
 func (b *Balancer) totalSpan() float64 {
 	sum := 0.0
--- a/pkg/permit/flow.go
+++ b/pkg/permit/flow.go
@@ -47,6 +47,7 @@
 		return
 	}
 	d.flow.ran++
+	d.balance.CountRun()
 	if cached {
 		d.flow.cached++
 	}
--- a/pkg/permit/manager.go
+++ b/pkg/permit/manager.go
@@ -35,8 +35,8 @@
 	// DomainLoads returns the slots and the demand of a service in the other failure domains, as far as they are known. It may
 	// be nil.
 	DomainLoads func(service string) []DomainLoad
-	// ShiftShare is the fraction of requests that load balancing may move between failure domains within ShiftWindow; 0 means
-	// 0.1 within 2 s.
+	// ShiftShare is the fraction of requests that load balancing may let change the failure domain in which they run from one ShiftWindow to
+	// the next; 0 means 0.1 in 2 s.
 	ShiftShare  float64
 	ShiftWindow time.Duration
 	// RetryRatio and RetryBurst parameterize the token bucket that limits retries: each first attempt adds RetryRatio tokens, a
--- a/pkg/permit/replay_test.go
+++ b/pkg/permit/replay_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -119,8 +121,20 @@
 	objects int
 }
 
+// playReplay plays a load. The seed repeats it exactly: the bubble stops the clock that dispatchers read beside the times that they are given.
+func playReplay(t *testing.T, seed uint64, length time.Duration, objects int, regions ...replayRegion) *replay {
+	t.Helper()
+	var r *replay
+	synctest.Test(t, func(*testing.T) {
+		r = newReplay(seed, shiftLimit, regions...)
+		r.objects = objects
+		r.run(length)
+	})
+	return r
+}
+
 func newReplay(seed uint64, shiftShare float64, regions ...replayRegion) *replay {
-	r := &replay{rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), objects: replayObjects}
+	r := &replay{rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now()}
 	for _, region := range regions {
 		d := &replayDomain{replayRegion: region, caches: map[string][]int{}, byObject: map[int]*objectCount{}}
 		d.d = replayDispatcher(d, shiftShare)
--- a/pkg/permit/shift_test.go
+++ b/pkg/permit/shift_test.go
@@ -87,8 +87,7 @@
 	for name, regions := range shiftLoads() {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(2) {
-				r := newReplay(seed, shiftLimit, regions...)
-				r.run(replayLength)
+				r := playReplay(t, seed, replayLength, replayObjects, regions...)
 				r.checkShift(t, name)
 			}
 		})
@@ -100,8 +99,8 @@
 func TestFullRegionKeepsItsThroughput(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
-		r := newReplay(seed, shiftLimit, withLargeRegions(smallRegion(stepRate(230, rateStep{14 * time.Second, 690})), stepRate(1))...)
-		r.run(20 * time.Second)
+		regions := withLargeRegions(smallRegion(stepRate(230, rateStep{14 * time.Second, 690})), stepRate(1))
+		r := playReplay(t, seed, 20*time.Second, replayObjects, regions...)
 		small := r.domains[0]
 		before := small.ranHere(r.start.Add(10*time.Second), r.start.Add(14*time.Second))
 		after := small.ranHere(r.start.Add(15*time.Second), r.start.Add(19*time.Second))
@@ -114,12 +113,10 @@
 // A kind of requests counts as starved if it is served less than a quarter as often as all.
 func TestOverloadStarvesNoObject(t *testing.T) {
 	is := is.New(t)
-	// With fewer requests for an object, the least served one of 480 would be served less often by chance.
-	const minRequests, length = 60, 4 * replayLength
+	// With fewer requests for an object, the least served one would be served less often by chance. The objects are a third more than the caches hold.
+	const minRequests, length, objects = 60, 4 * replayLength, 480
 	for seed := range uint64(2) {
-		r := newReplay(seed, shiftLimit, smallRegion(stepRate(450)))
-		r.objects = 480 // a third more than the caches hold
-		r.run(length)
+		r := playReplay(t, seed, length, objects, smallRegion(stepRate(450)))
 		d := r.domains[0]
 		all := float64(d.served) / float64(d.sent)
 		least := 1.0
@@ -140,8 +137,8 @@
 		rng := rand.New(rand.NewPCG(uint64(seed), 2))
 		small := smallRegion(randomRate(rng, 150+200*rng.Float64(), 0.3, 2.5))
 		small.targets = 8 + rng.IntN(10)
-		r := newReplay(uint64(seed), shiftLimit, withLargeRegions(small, randomRate(rng, 0.8, 0.6, 1.8))...)
-		r.run(replayLength)
+		regions := withLargeRegions(small, randomRate(rng, 0.8, 0.6, 1.8))
+		r := playReplay(t, uint64(seed), replayLength, replayObjects, regions...)
 		r.checkShift(t, "seed "+strconv.Itoa(seed))
 	}
 }
