Don't make up later for what the limit on shifts has prevented

Cause: the shares charged a request to the failure domain that served it. While the limit kept requests that were to leave, the deficits of the others grew to 400 requests, and were paid back as soon as the limit allowed it. Requests that were kept also waited for slots, although their objects are not cached here.

Change: a request is charged to the share that selected it. One that is kept takes a free slot or is refused at once, which is true and leaves the slots to those that are served faster.

Evidence: TestPreventedShiftIsNotMadeUpForLater fails without it.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -19,8 +19,7 @@
 		return
 	}
 	if domain := d.chooseDomain(w, now); domain != "" {
-		d.countLeft()
-		w.result <- answer{redirectTo: domain}
+		d.redirect(w, domain)
 		return
 	}
 	d.earnRetryTokens(w, now)
@@ -68,6 +67,9 @@
 	if w.req.QueueTimeout > 0 {
 		limit = min(limit, w.req.QueueTimeout)
 	}
+	if w.kept {
+		limit = 0 // it takes a free slot, but no time of those that are served here
+	}
 	w.startBy = now.Add(limit)
 	capacity := d.capacityFor(w.class)
 	ahead := d.queue.ahead(w)
--- a/pkg/permit/balance/balance.go
+++ b/pkg/permit/balance/balance.go
@@ -128,7 +128,7 @@
 func (b *Balancer) CountArrival() { b.arrivals++ }
 
 // CountRun counts a request of a caller of this failure domain that runs in it.
-func (b *Balancer) CountRun() { b.runs.countHere() }
+func (b *Balancer) CountRun(now time.Time) { b.runs.countHere(now) }
 
 // Update moves the shares towards those that fit the loads, at most once per updateInterval. It calls observe only if it does.
 func (b *Balancer) Update(now time.Time, observe func() Observation) {
@@ -151,9 +151,9 @@
 		b.unlimitedUntil = now.Add(unlimitedShiftPeriod)
 	}
 	wanted := balancedShares(b.opts.Domain, loads)
-	b.runs.advance(now)
 	b.shares = limitShift(b.shares, wanted, b.maxShift(wanted, elapsed, now))
 	b.plan = b.planOf(loads, wanted)
+	b.runs.advance(now)
 }
 
 // maxShift returns how far the shares may move towards the wanted ones after a time.
@@ -175,15 +175,15 @@
 // this failure domain if no more may leave, or another one if no more may return. The shares alone don't keep it. When more requests arrive than a full
 // region serves, those that are meant to stay are refused, and those that leave grow with the arrivals; when the arrivals end, those that have
 // waited run here, and nothing else leaves.
-func (b *Balancer) applyRunLimit(selected *share) *share {
-	if !b.limited(b.updatedAt) {
+func (b *Balancer) applyRunLimit(now time.Time, selected *share) *share {
+	if !b.limited(now) {
 		return selected
 	}
 	most := runLimitFraction * b.opts.ShiftShare
 	switch stays := selected.domain == b.opts.Domain; {
-	case !stays && !b.runs.allowsAway(most):
+	case !stays && !b.runs.allowsAway(now, most):
 		return b.ownShare()
-	case stays && !b.runs.allowsHere(most):
+	case stays && !b.runs.allowsHere(now, most):
 		return cmp.Or(b.neediestOther(), selected)
 	}
 	return selected
@@ -264,23 +264,30 @@
 	return sum / float64(max(1, count))
 }
 
-// Choose returns the failure domain to which a request is redirected, or an empty string if it is served or refused in this one. A request with home
-// regions does not count for the limit on shifts.
-func (b *Balancer) Choose(r Request) string {
+// Choice is where a request is served.
+type Choice struct {
+	// Domain is the failure domain to which the request is redirected; empty if it stays in this one.
+	Domain string
+	// Kept is set if the request stays only because no more may leave. Its object is probably cached elsewhere.
+	Kept bool
+}
+
+// Choose selects the failure domain of a request. A request with home regions does not count for the limit on shifts.
+func (b *Balancer) Choose(now time.Time, r Request) Choice {
 	if len(r.HomeRegions) > 0 {
-		return b.chooseHomeDomain(r.HomeRegions)
+		return Choice{Domain: b.chooseHomeDomain(r.HomeRegions)}
 	}
 	selected := b.pickShare(r.Object)
 	if selected == nil {
-		return ""
+		return Choice{}
 	}
-	selected = b.applyRunLimit(selected)
-	selected.deficit--
-	if selected.domain == b.opts.Domain {
-		return ""
+	selected.deficit-- // also if it does not get the request: what the limit prevents is not made up for later
+	allowed := b.applyRunLimit(now, selected)
+	if allowed.domain == b.opts.Domain {
+		return Choice{Kept: allowed != selected}
 	}
-	b.runs.countAway()
-	return selected.domain
+	b.runs.countAway(now)
+	return Choice{Domain: allowed.domain}
 }
 
 // chooseHomeDomain returns the failure domain of a request that may be served in its home regions only: an empty string if this
--- a/pkg/permit/balance/balance_test.go
+++ b/pkg/permit/balance/balance_test.go
@@ -240,9 +240,41 @@
 	b := &Balancer{opts: Options{Domain: "a", Region: "ra"}, shares: []share{
 		{domain: "a", region: "ra", fraction: 0.2}, {domain: "b", region: "rb", fraction: 0.5}, {domain: "c", region: "rc", fraction: 0.3},
 	}}
-	place := func(homes ...string) string { return b.Choose(Request{HomeRegions: homes}) }
+	place := func(homes ...string) string { return b.Choose(time.Now(), Request{HomeRegions: homes}).Domain }
 	is.Equal(place("ra", "rb"), "")
 	is.Equal(place("rc"), "c")
 	is.Equal(place("rb", "rc"), "b")
 	is.Equal(place("rx"), NoDomain)
 }
+
+// Guards against requests that leave, or return, all at once when the limit on shifts allows it again, because the shares count what it has prevented as
+// a deficit.
+func TestPreventedShiftIsNotMadeUpForLater(t *testing.T) {
+	is := is.New(t)
+	b := New(Options{Domain: "a", ShiftShare: 0.15, ShiftWindow: 2 * time.Second})
+	b.shares = []share{{domain: "a", fraction: 0.5}, {domain: "b", fraction: 0.5}}
+	now := time.Now()
+	b.runs.advance(now)
+	b.runs.before = runCount{here: 100, away: 100}
+	b.runs.recent = runCount{here: 10, away: 100} // the region refuses most of what is to stay
+	kept := 0
+	for range 200 {
+		choice := b.Choose(now, Request{})
+		is.Equal(choice.Domain, "")
+		if choice.Kept {
+			kept++
+		}
+	}
+	is.Equal(kept, 100)
+	b.runs.recent = b.runs.before
+	left := 0
+	for range 100 {
+		if b.Choose(now, Request{}).Domain == "b" {
+			left++
+		} else {
+			b.CountRun(now)
+		}
+	}
+	is.True(left >= 45)
+	is.True(left <= 55)
+}
--- a/pkg/permit/balance/runs.go
+++ b/pkg/permit/balance/runs.go
@@ -47,25 +47,29 @@
 	r.here[0], r.away[0] = 0, 0
 }
 
-func (r *runs) countHere() {
+func (r *runs) countHere(now time.Time) {
+	r.advance(now)
 	r.here[0]++
 	r.recent.here++
 }
 
-func (r *runs) countAway() {
+func (r *runs) countAway(now time.Time) {
+	r.advance(now)
 	r.away[0]++
 	r.recent.away++
 }
 
 // allowsAway reports whether one more request may run in another failure domain, if the share of those that run here may fall by most from one window
 // to the next.
-func (r *runs) allowsAway(most float64) bool {
+func (r *runs) allowsAway(now time.Time, most float64) bool {
+	r.advance(now)
 	here, known := r.before.share()
 	return !known || runCount{r.recent.here, r.recent.away + 1}.shareAtLeast(here-most)
 }
 
 // allowsHere reports whether one more request may run here, if the share of those that do may rise by most from one window to the next.
-func (r *runs) allowsHere(most float64) bool {
+func (r *runs) allowsHere(now time.Time, most float64) bool {
+	r.advance(now)
 	here, known := r.before.share()
 	return !known || !runCount{r.recent.here + 1, r.recent.away}.shareAtLeast(here+most)
 }
--- a/pkg/permit/flow.go
+++ b/pkg/permit/flow.go
@@ -42,12 +42,12 @@
 func (w *waiter) isOwn() bool { return !w.req.Forwarded && !w.req.Hedge && w.req.Attempt == 0 }
 
 // countRan counts a request that was granted a slot, and whether the target has probably cached its object.
-func (d *dispatcher) countRan(w *waiter, cached bool) {
+func (d *dispatcher) countRan(w *waiter, cached bool, now time.Time) {
 	if !w.isOwn() {
 		return
 	}
 	d.flow.ran++
-	d.balance.CountRun()
+	d.balance.CountRun(now)
 	if cached {
 		d.flow.cached++
 	}
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -75,7 +75,7 @@
 		fingerprint: w.req.Fingerprint, class: w.class, trial: w.trial,
 		granted: now, expires: w.deadline.Add(expiryGrace), process: process{t.name, t.config.GetStartedUnixMs()},
 	}
-	d.countRan(w, decision.Cached)
+	d.countRan(w, decision.Cached, now)
 	p.warm, p.cold = decision.Cached, now.Before(t.coldUntil)
 	p.recencyRank = t.recentObjects.Rank(w.req.ObjectHash)
 	if decision.ExpectedDuration > 0 {
--- a/pkg/permit/metrics_test.go
+++ b/pkg/permit/metrics_test.go
@@ -76,14 +76,14 @@
 	scope := tally.NewTestScope("", nil)
 	d := newTestDispatcher(0, firstTerm)
 	d.flowMetrics = newFlowMetrics(scope, "s")
+	now := time.Now()
 	own, forwarded := &waiter{}, &waiter{req: Request{Forwarded: true}}
-	d.countRan(own, true)
-	d.countRan(own, false)
-	d.countRan(forwarded, true)
+	d.countRan(own, true, now)
+	d.countRan(own, false, now)
+	d.countRan(forwarded, true, now)
 	d.countRefused(own)
 	d.countRefused(forwarded)
 	d.countLeft()
-	now := time.Now()
 	d.reportFlow(now)
 	d.countLeft()
 	d.reportFlow(now.Add(flowInterval / 2)) // too early
--- a/pkg/permit/queue.go
+++ b/pkg/permit/queue.go
@@ -24,6 +24,8 @@
 	work time.Duration
 	// trial is set for a request that is let through although its route seems to need more time than it has.
 	trial bool
+	// kept is set for a request that stays in this failure domain only because no more may leave it.
+	kept bool
 	// startBy is the latest start that was expected when the request was queued. waitUntil is when its wait ends.
 	startBy, waitUntil time.Time
 	// awaitedTarget is a target without a free slot that is still expected to complete the request before any other target
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -19,7 +19,15 @@
 		return ""
 	}
 	d.balance.Update(now, d.observeLoads)
-	return d.balance.Choose(balance.Request{Object: w.req.ObjectHash, HomeRegions: w.req.HomeRegions})
+	choice := d.balance.Choose(now, balance.Request{Object: w.req.ObjectHash, HomeRegions: w.req.HomeRegions})
+	w.kept = choice.Kept
+	return choice.Domain
+}
+
+// redirect answers that another failure domain serves the request.
+func (d *dispatcher) redirect(w *waiter, domain string) {
+	d.countLeft()
+	w.result <- answer{redirectTo: domain}
 }
 
 // observeLoads returns the slots of this failure domain and the loads of the others.
