Refuse a request that may not leave as without capacity

What callers saw: 504 with the reason deadline for a request that had time left, but may neither leave its full region nor wait.

--- a/pkg/permit/admission.go
+++ b/pkg/permit/admission.go
@@ -60,20 +60,21 @@
 }
 
 // admitWait returns the refusal of a request that has to wait too long, or that would make one wait too long that waits already; nil if it
-// may be queued. Without the margin of inTimeAfterWait, a long queue would spend the slots on answers that come just too late.
+// may be queued. Without the margin of inTimeAfterWait, a long queue would spend the slots on answers that come just too late. A request that is kept takes
+// a free slot only: it would take several times as long as those that wait for a target with their objects.
 func (d *dispatcher) admitWait(w *waiter, now time.Time) *RefusedError {
 	left := w.deadline.Sub(now)
 	limit := left - d.work.Within(w.req.Route, left, inTimeAfterWait)
 	if w.req.QueueTimeout > 0 {
 		limit = min(limit, w.req.QueueTimeout)
 	}
-	if w.kept {
-		limit = 0 // it takes a free slot, but no time of those that are served here
-	}
 	w.startBy = now.Add(limit)
 	capacity := d.capacityFor(w.class)
 	ahead := d.queue.ahead(w)
 	delay := capacity.delay(ahead)
+	if delay > 0 && w.kept {
+		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_OVERLOAD, d.queueDelay(w.class))
+	}
 	if delay > 0 && delay > limit || d.displaces(w, ahead, capacity, now) {
 		return newRefusal(peerv1.RefusalReason_REFUSAL_REASON_DEADLINE, d.queueDelay(w.class))
 	}
