Count only requests that may be redirected for the limit on shifts

What callers saw: nothing; found by reading. Requests with home regions, and those that came back from an unreachable region, counted as run here, but not as left, so that the limit was that of another mix of requests.

Change: what is granted counts if it may be redirected to balance load. The pages say what the limit and the order of waiting requests are now.

--- a/pkg/permit/flow.go
+++ b/pkg/permit/flow.go
@@ -41,13 +41,16 @@
 // isOwn reports whether a request counts for the shares of this failure domain: a first attempt of one of its callers.
 func (w *waiter) isOwn() bool { return !w.req.Forwarded && !w.req.Hedge && w.req.Attempt == 0 }
 
-// countRan counts a request that was granted a slot, and whether the target has probably cached its object.
+// countRan counts a request that was granted a slot, and whether the target has probably cached its object. Only those that may be redirected count for the
+// limit on shifts.
 func (d *dispatcher) countRan(w *waiter, cached bool, now time.Time) {
 	if !w.isOwn() {
 		return
 	}
 	d.flow.ran++
-	d.balance.CountRun(now)
+	if d.mayRedirect(w) {
+		d.balance.CountRun(now)
+	}
 	if cached {
 		d.flow.cached++
 	}
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -38,9 +38,9 @@
 	})
 }
 
-// grantMatching grants free slots to waiting requests, or redirects them if too many run here, for which matches returns true, in their order. None of them passes one of a higher rank
-// for which it returned false. A request that gets no slot for another reason does not block those behind it: it may exclude all free targets,
-// wait for a certain one, be poison, or come from a host that does not follow this dispatcher yet.
+// grantMatching grants free slots to waiting requests for which matches returns true, in their order, or redirects them if too many run here. None of
+// them passes one of a higher rank for which it returned false. A request that gets no slot for another reason does not block those behind it: it may
+// exclude all free targets, wait for a certain one, be poison, or come from a host that does not follow this dispatcher yet.
 func (d *dispatcher) grantMatching(now time.Time, matches func(*waiter, *target) bool) {
 	if len(d.queue) == 0 || !d.slots.anyFree() {
 		return
--- a/pkg/permit/redirect.go
+++ b/pkg/permit/redirect.go
@@ -33,15 +33,15 @@
 // returnsTooEarly returns the failure domain to which a request that has waited for a slot is redirected all the same, or an empty string if it may run
 // in this one. When fewer requests arrive, those that leave become fewer at once, while those that wait would go on to run here.
 func (d *dispatcher) returnsTooEarly(w *waiter, now time.Time) string {
-	if !d.mayRedirect(w) || w.trial || len(w.req.HomeRegions) > 0 {
+	if !d.mayRedirect(w) || w.trial {
 		return ""
 	}
 	return d.balance.Instead(now)
 }
 
-// mayRedirect reports whether a request may be redirected to another failure domain.
+// mayRedirect reports whether a request may be redirected to balance load.
 func (d *dispatcher) mayRedirect(w *waiter) bool {
-	return d.balancingEnabled() && w.isOwn() && w.req.FollowsRedirects
+	return d.balancingEnabled() && w.isOwn() && w.req.FollowsRedirects && len(w.req.HomeRegions) == 0
 }
 
 // observeLoads returns the slots of this failure domain and the loads of the others.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -127,7 +127,7 @@
 	fs.Float64Var(&s.RetryPercent, "retry-percent", 10, "retries that a dispatcher allows, as a percentage of first attempts")
 	fs.IntVar(&s.RetryBurst, "retry-burst", 20, "retries that the dispatchers of a service can save up in a failure domain")
 	fs.Float64Var(&s.ShiftPercent, "shift-percent", 10,
-		"share of a region's requests that may change their region within --shift-window to balance load, in percent")
+		"share of a region's requests that may change the region in which they run from one --shift-window to the next, to balance load, in percent")
 	fs.DurationVar(&s.ShiftWindow, "shift-window", 2*time.Second, "time for --shift-percent")
 	fs.IntVar(&s.MinDomainHosts, "min-domain-hosts", 1,
 		"least number of hosts in the failure domain; caps are granted only while a majority of them is reachable")
