Reset the gauges of the shares when a dispatcher ends

Found by reading: a host whose dispatcher had moved to another one went on reporting its last shares and demand. The report of the shares is split into short functions; no decision changes. Tests of the metrics and of overload in pkg/permit pass.

--- a/pkg/permit/dispatcher.go
+++ b/pkg/permit/dispatcher.go
@@ -139,6 +139,7 @@
 func (d *dispatcher) run() {
 	defer close(d.done)
 	defer d.metrics.reset()
+	defer d.flowMetrics.update(balance.Plan{})
 	timer := time.NewTimer(maxSleep)
 	defer timer.Stop()
 	armed := time.Now().Add(maxSleep)
--- a/pkg/permit/flow.go
+++ b/pkg/permit/flow.go
@@ -5,6 +5,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/rattanhitch/rattanhitch/pkg/permit/balance"
 )
 
 // flowInterval is the time between two reports of a dispatcher's shares, and of what became of the requests of its callers.
@@ -73,23 +75,36 @@
 		return
 	}
 	plan := d.balance.Plan()
-	m := d.flowMetrics
+	d.flowMetrics.update(plan)
+	d.flowMetrics.count(*f)
+	if d.balancingEnabled() && (f.refused > 0 || changed(f.share, plan.Share) || changed(f.wanted, plan.Wanted)) {
+		d.logFlow(plan)
+		f.share, f.wanted = plan.Share, plan.Wanted
+	}
+	*f = flow{share: f.share, wanted: f.wanted, reportedAt: now}
+}
+
+func (d *dispatcher) logFlow(plan balance.Plan) {
+	f := d.flow
+	log.Info().Str("step", "balance").Str("service", d.service).Float64("share", round(plan.Share)).Float64("wanted", round(plan.Wanted)).
+		Float64("demand", round(plan.Demand)).Float64("capacity", round(plan.Capacity)).Dur("hold", d.meanHoldTime[classShort]).
+		Int("ran", f.ran).Int("cached", f.cached).Int("left", f.left).Int("refused", f.refused).Int("waiting", len(d.queue)).
+		Msg("shares of the region's requests")
+}
+
+// update sets the gauges. The dispatcher sets them to 0 when it ends: its successor may be on another host.
+func (m flowMetrics) update(plan balance.Plan) {
 	m.share.Update(plan.Share)
 	m.wanted.Update(plan.Wanted)
 	m.demand.Update(plan.Demand)
 	m.capacity.Update(plan.Capacity)
+}
+
+func (m flowMetrics) count(f flow) {
 	m.ran.Inc(int64(f.ran))
 	m.cached.Inc(int64(f.cached))
 	m.left.Inc(int64(f.left))
 	m.refused.Inc(int64(f.refused))
-	if d.balancingEnabled() && (f.refused > 0 || changed(f.share, plan.Share) || changed(f.wanted, plan.Wanted)) {
-		log.Info().Str("step", "balance").Str("service", d.service).Float64("share", round(plan.Share)).Float64("wanted", round(plan.Wanted)).
-			Float64("demand", round(plan.Demand)).Float64("capacity", round(plan.Capacity)).Dur("hold", d.meanHoldTime[classShort]).
-			Int("ran", f.ran).Int("cached", f.cached).Int("left", f.left).Int("refused", f.refused).Int("waiting", len(d.queue)).
-			Msg("shares of the region's requests")
-		f.share, f.wanted = plan.Share, plan.Wanted
-	}
-	*f = flow{share: f.share, wanted: f.wanted, reportedAt: now}
 }
 
 func changed(before, after float64) bool {
