--- a/pkg/permit/await.go
+++ b/pkg/permit/await.go
@@ -33,8 +33,7 @@
 // and the time until completion. best is nil if no target qualifies.
 func (d *dispatcher) earliestCompletion(w *waiter, now time.Time) (best *target, wait, total time.Duration) {
 	for _, t := range d.slots.order {
-		if t.closed || t.health.down || t.health.quarantined || slices.Contains(w.req.ExcludeTargets, t.name) ||
-			!t.rateLimit.allows(now) {
+		if !t.isOpenTo(w) || !t.rateLimit.allows(now) {
 			continue
 		}
 		untilFree := t.untilFree(now, d.meanHoldTime[w.class])
@@ -45,6 +44,11 @@
 	return best, wait, total
 }
 
+// isOpenTo reports whether a target takes a waiter's request once it has a free slot.
+func (t *target) isOpenTo(w *waiter) bool {
+	return !t.closed && !t.health.down && !t.health.quarantined && !slices.Contains(w.req.ExcludeTargets, t.name)
+}
+
 // untilFree returns the time until the next slot that no other waiter is waiting for is expected to be free. meanHold is the mean time for
 // which a request occupies a slot. Requests past their expected end do not count, because their remaining time is unknown.
 func (t *target) untilFree(now time.Time, meanHold time.Duration) time.Duration {
--- a/pkg/permit/grant.go
+++ b/pkg/permit/grant.go
@@ -31,10 +31,7 @@
 func (d *dispatcher) isMuchFasterElsewhere(w *waiter, t *target, now time.Time) bool {
 	limit := time.Duration(float64(d.expectedTime(w, t, now)) / similarTimeFactor)
 	return slices.ContainsFunc(d.slots.order, func(other *target) bool {
-		if other.closed || other.health.down || other.health.quarantined || slices.Contains(w.req.ExcludeTargets, other.name) {
-			return false
-		}
-		return d.expectedTime(w, other, now) < limit
+		return other.isOpenTo(w) && d.expectedTime(w, other, now) < limit
 	})
 }
 
